--- /dev/null
+++ b/src/bookkeeping/jobs.rs
@@ -0,0 +1,200 @@
+//! Open jobs and their tasks.
+
+use crate::protocol::job::{JobSpec, Shape};
+use std::collections::{BTreeMap, HashMap};
+
+/// A set of task numbers as a bitmap.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TaskSet {
+    words: Vec<u64>,
+    count: u32,
+}
+
+impl TaskSet {
+    /// An empty set for numbers below `size`.
+    pub fn new(size: u32) -> TaskSet {
+        TaskSet {
+            words: vec![0; size.div_ceil(64) as usize],
+            count: 0,
+        }
+    }
+    /// Adds a number; false if it was there or is out of range.
+    pub fn insert(&mut self, index: u32) -> bool {
+        let Some(word) = self.words.get_mut((index / 64) as usize) else {
+            return false;
+        };
+        let bit = 1 << (index % 64);
+        if *word & bit != 0 {
+            return false;
+        }
+        *word |= bit;
+        self.count += 1;
+        true
+    }
+    /// Whether the number is in it.
+    pub fn contains(&self, index: u32) -> bool {
+        self.words
+            .get((index / 64) as usize)
+            .is_some_and(|word| word & (1 << (index % 64)) != 0)
+    }
+    /// How many are in it.
+    pub fn len(&self) -> u32 {
+        self.count
+    }
+    /// Whether it is empty.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+}
+
+/// An open job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// As submitted.
+    pub spec: JobSpec,
+    /// Version of its key.
+    pub stamp: u64,
+    /// When it came, on this node's steady clock.
+    pub since: f64,
+    /// Completed tasks, written down or about to be.
+    pub done: TaskSet,
+    /// Where tasks are bound; a task may show up on several hosts after failures.
+    pub bound: BTreeMap<u32, Vec<String>>,
+    /// Tasks bound in each zone.
+    pub zones: HashMap<String, u32>,
+    /// Versions of its progress keys.
+    pub progress_stamps: HashMap<u32, u64>,
+    /// Its ending is on the way.
+    pub ending: bool,
+    /// Failures in a row.
+    pub errors: u32,
+    /// No starts before this time.
+    pub not_before: f64,
+    /// Since when some task has waited, for the oldest age.
+    pub waiting_since: f64,
+}
+
+impl Job {
+    /// A job of which nothing but its key is known.
+    pub fn new(spec: JobSpec, stamp: u64, since: f64) -> Job {
+        let tasks = spec.tasks;
+        Job {
+            spec,
+            stamp,
+            since,
+            done: TaskSet::new(tasks),
+            bound: BTreeMap::new(),
+            zones: HashMap::new(),
+            progress_stamps: HashMap::new(),
+            ending: false,
+            errors: 0,
+            not_before: 0.0,
+            waiting_since: since,
+        }
+    }
+
+    /// Whether the tasks run until the job is cancelled.
+    pub fn standing(&self) -> bool {
+        self.spec.shape == Shape::Standing
+    }
+
+    /// The tasks that wait, in the order in which they are to be placed.
+    pub fn waiting_tasks(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..self.spec.tasks).filter(|index| self.waits(*index))
+    }
+
+    fn waits(&self, index: u32) -> bool {
+        !self.done.contains(index) && !self.bound.contains_key(&index)
+    }
+
+    /// Number of tasks that wait.
+    pub fn waiting(&self) -> u32 {
+        if self.ending {
+            return 0;
+        }
+        let bound = self
+            .bound
+            .keys()
+            .filter(|index| !self.done.contains(**index))
+            .count() as u32;
+        self.spec.tasks.saturating_sub(self.done.len() + bound)
+    }
+
+    /// Notes that a task was bound to a host in a zone.
+    pub fn bind(&mut self, index: u32, host: &str, zone: &str) {
+        let hosts = self.bound.entry(index).or_default();
+        if !hosts.iter().any(|name| name == host) {
+            hosts.push(host.to_owned());
+            *self.zones.entry(zone.to_owned()).or_default() += 1;
+        }
+    }
+
+    /// Notes that a binding has ended.
+    pub fn unbind(&mut self, index: u32, host: &str, zone: &str, now: f64) {
+        let Some(hosts) = self.bound.get_mut(&index) else {
+            return;
+        };
+        let before = hosts.len();
+        hosts.retain(|name| name != host);
+        if hosts.len() < before
+            && let Some(count) = self.zones.get_mut(zone)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.zones.remove(zone);
+            }
+        }
+        if hosts.is_empty() {
+            self.bound.remove(&index);
+            if !self.done.contains(index) && self.waiting() == 1 {
+                self.waiting_since = now;
+            }
+        }
+    }
+
+    /// When the job should be complete, on the steady clock.
+    pub fn due(&self) -> Option<f64> {
+        self.spec.due_s.map(|due| self.since + due)
+    }
+}
+
+/// All open jobs.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    jobs: BTreeMap<String, Job>,
+}
+
+impl Jobs {
+    /// Adds a job unless it is known.
+    pub fn insert(&mut self, job: Job) {
+        self.jobs.entry(job.spec.id.clone()).or_insert(job);
+    }
+    /// Drops a job.
+    pub fn remove(&mut self, id: &str) -> Option<Job> {
+        self.jobs.remove(id)
+    }
+    /// A job.
+    pub fn get(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+    /// A job, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Job> {
+        self.jobs.get_mut(id)
+    }
+    /// All jobs, by id.
+    pub fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+    /// All jobs, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Job> {
+        self.jobs.values_mut()
+    }
+    /// How many.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,9 @@
+//! What is known and what is written down: jobs, hosts, bindings, quotas and their records in the
+//! state service. Pure: no sockets, no clocks; times are passed in, in seconds of a steady clock.
+
+pub mod budget;
+pub mod hosts;
+pub mod jobs;
+pub mod ledger;
+pub mod quotas;
+pub mod records;
--- /dev/null
+++ b/src/bookkeeping/quotas.rs
@@ -0,0 +1,118 @@
+//! What teams use, and what they are guaranteed and allowed.
+
+use crate::protocol::job::{JobSpec, Shape};
+use crate::settings::Team;
+use std::collections::HashMap;
+
+/// Sums of decimals may be off by rounding; so much is let pass.
+const ROUNDING: f64 = 1e-6;
+
+/// CPUs and GPUs.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Use {
+    /// CPUs.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+}
+
+/// Teams with what their bound tasks use.
+#[derive(Debug, Clone, Default)]
+pub struct Quotas {
+    teams: HashMap<String, (Team, Use)>,
+}
+
+impl Quotas {
+    /// No team uses anything yet.
+    pub fn new(teams: &[Team]) -> Quotas {
+        Quotas {
+            teams: teams
+                .iter()
+                .map(|team| (team.name.clone(), (team.clone(), Use::default())))
+                .collect(),
+        }
+    }
+
+    /// Whether the team exists.
+    pub fn knows(&self, team: &str) -> bool {
+        self.teams.contains_key(team)
+    }
+
+    /// Whether the job's team may ever run it: one task of an array, all tasks of a service.
+    pub fn could_run(&self, spec: &JobSpec) -> bool {
+        let Some((team, _)) = self.teams.get(&spec.team) else {
+            return false;
+        };
+        let tasks = match spec.shape {
+            Shape::Array => 1.0,
+            Shape::Standing => f64::from(spec.tasks),
+        };
+        let below = |need: f64, limit: f64| limit <= 0.0 || need <= limit + ROUNDING;
+        below(spec.cpus * tasks, team.cpus_max) && below(spec.gpus * tasks, team.gpus_max)
+    }
+
+    /// Whether one more task fits under the team's limit.
+    pub fn fits(&self, team: &str, cpus: f64, gpus: f64) -> bool {
+        let Some((team, used)) = self.teams.get(team) else {
+            return false;
+        };
+        let below = |sum: f64, limit: f64| limit <= 0.0 || sum <= limit + ROUNDING;
+        below(used.cpus + cpus, team.cpus_max) && below(used.gpus + gpus, team.gpus_max)
+    }
+
+    /// How many more such tasks fit under the team's limit.
+    pub fn room(&self, team: &str, cpus: f64, gpus: f64) -> u32 {
+        let Some((team, used)) = self.teams.get(team) else {
+            return 0;
+        };
+        let count = |need: f64, used: f64, limit: f64| {
+            if limit > 0.0 && need > 0.0 {
+                ((limit - used + ROUNDING) / need).floor().max(0.0)
+            } else {
+                f64::from(u32::MAX)
+            }
+        };
+        count(cpus, used.cpus, team.cpus_max).min(count(gpus, used.gpus, team.gpus_max)) as u32
+    }
+
+    /// Whether the team would use no more than its guarantee with this on top.
+    pub fn within_guarantee(&self, team: &str, cpus: f64, gpus: f64) -> bool {
+        let Some((team, used)) = self.teams.get(team) else {
+            return false;
+        };
+        let guaranteed = team.cpus > 0.0 || team.gpus > 0.0;
+        guaranteed
+            && used.cpus + cpus <= team.cpus + ROUNDING
+            && used.gpus + gpus <= team.gpus + ROUNDING
+    }
+
+    /// Whether the team uses more than its guarantee even without this.
+    pub fn beyond_without(&self, team: &str, cpus: f64, gpus: f64) -> bool {
+        let Some((team, used)) = self.teams.get(team) else {
+            return true;
+        };
+        (cpus > 0.0 && used.cpus - cpus >= team.cpus - ROUNDING)
+            || (gpus > 0.0 && used.gpus - gpus >= team.gpus - ROUNDING)
+    }
+
+    /// Counts a bound task.
+    pub fn take(&mut self, team: &str, cpus: f64, gpus: f64) {
+        if let Some((_, used)) = self.teams.get_mut(team) {
+            used.cpus += cpus;
+            used.gpus += gpus;
+        }
+    }
+
+    /// Takes a bound task off.
+    pub fn give(&mut self, team: &str, cpus: f64, gpus: f64) {
+        self.take(team, -cpus, -gpus);
+    }
+
+    /// What a team uses.
+    pub fn used(&self, team: &str) -> Use {
+        self.teams
+            .get(team)
+            .map(|(_, used)| *used)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/coordination/autoscaler.rs
@@ -0,0 +1,208 @@
+//! How many machines a pool should have: the largest of three targets, within bounds.
+//!
+//! The arithmetic of "Predictive Queue Autoscaling with Little's Law"; docs/design.md says what was
+//! kept and what was changed.
+
+use crate::policy::Figures;
+use std::collections::VecDeque;
+
+/// A pool's load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Load {
+    /// Tasks that wait for a machine of this pool.
+    pub pending: u32,
+    /// For how long the oldest of them has waited.
+    pub oldest_s: f64,
+    /// Starts and finishes per second and machine.
+    pub rate: f64,
+    /// Expected arrivals of tasks per second.
+    pub forecast: f64,
+    /// Average time of a task on its machine.
+    pub task_s: f64,
+    /// Tasks that fit on a machine.
+    pub per_machine: f64,
+    /// Machines' worth of replicas, which run until they are cancelled: for them, what Little's law
+    /// calls the number in the system is simply what is there.
+    pub standing: f64,
+    /// Machines with tasks.
+    pub busy: u32,
+    /// Machines that the requests of the waiting tasks would fill.
+    pub fill: u32,
+}
+
+/// What set the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Little's law.
+    Little,
+    /// The forecast.
+    Trend,
+    /// The backlog.
+    Drain,
+    /// What the waiting tasks would fill.
+    Fill,
+    /// Machines with tasks stay.
+    Busy,
+    /// The least machines.
+    Min,
+    /// The most machines.
+    Max,
+}
+
+/// A decision with all that led to it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Decision {
+    /// Machines by Little's law.
+    pub little: u32,
+    /// Machines by the forecast.
+    pub trend: u32,
+    /// Machines to drain the backlog.
+    pub drain: u32,
+    /// The target.
+    pub target: u32,
+    /// What set it.
+    pub reason: Reason,
+}
+
+/// Usage of the pickup target above which the drain target gets a margin.
+const MARGIN_FROM: f64 = 0.8;
+
+fn ceil(machines: f64, max: u32) -> u32 {
+    if machines.is_finite() {
+        (machines - 1e-9).ceil().clamp(0.0, f64::from(max)) as u32
+    } else {
+        max
+    }
+}
+
+/// Machines by Little's law: the pending tasks over the pickup target, over the rate of a machine.
+pub fn little(load: &Load, figures: &Figures) -> u32 {
+    if load.pending == 0 || load.rate <= 0.0 {
+        return figures.min;
+    }
+    ceil(
+        f64::from(load.pending) / figures.pickup_s / load.rate,
+        figures.max,
+    )
+}
+
+/// Machines for the expected arrivals: their rate times the time of a task, over the tasks that a
+/// machine takes; with the headroom on top.
+pub fn trend(load: &Load, figures: &Figures) -> u32 {
+    let tasks = load.forecast * load.task_s;
+    ceil(
+        (tasks / load.per_machine.max(1.0) + load.standing) * (1.0 + figures.headroom),
+        figures.max,
+    )
+}
+
+/// Machines that drain the backlog before the oldest task breaches the pickup target.
+pub fn drain(load: &Load, figures: &Figures) -> u32 {
+    if load.pending == 0 {
+        return figures.min;
+    }
+    let usage = load.oldest_s / figures.pickup_s;
+    if usage > 1.0 {
+        return figures.max;
+    }
+    if load.rate <= 0.0 {
+        return figures.min;
+    }
+    let left_s = (figures.pickup_s - load.oldest_s).max(1.0);
+    let margin = 1.0 + (usage - MARGIN_FROM).max(0.0) * 2.0;
+    ceil(
+        f64::from(load.pending) / left_s / load.rate * margin,
+        figures.max,
+    )
+}
+
+/// The target of a pool. What waits is served by the machines that are busy now plus at most those
+/// that its requests would fill.
+pub fn decide(load: &Load, figures: &Figures) -> Decision {
+    let little = little(load, figures);
+    let drain = drain(load, figures);
+    let trend = trend(load, figures);
+    let filled = load.busy + load.fill;
+    let (mut target, mut reason) = if drain > little {
+        (drain, Reason::Drain)
+    } else {
+        (little, Reason::Little)
+    };
+    if target > filled {
+        (target, reason) = (filled, Reason::Fill);
+    }
+    // Busy machines stay; they are no matter of targets.
+    if load.busy > target {
+        (target, reason) = (load.busy, Reason::Busy);
+    }
+    if trend > target {
+        (target, reason) = (trend, Reason::Trend);
+    }
+    if target < figures.min {
+        (target, reason) = (figures.min, Reason::Min);
+    }
+    if target > figures.max {
+        (target, reason) = (figures.max, Reason::Max);
+    }
+    Decision {
+        little,
+        trend,
+        drain,
+        target,
+        reason,
+    }
+}
+
+/// Counts events over a sliding window.
+#[derive(Debug, Clone, Default)]
+pub struct Meter {
+    events: VecDeque<(f64, f64)>,
+}
+
+/// Events that a meter keeps.
+const EVENTS: usize = 4096;
+
+impl Meter {
+    /// Adds an event of some weight.
+    pub fn add(&mut self, weight: f64, now: f64) {
+        self.events.push_back((now, weight));
+        if self.events.len() > EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Drops what is older than two windows.
+    pub fn trim(&mut self, window_s: f64, now: f64) {
+        while self
+            .events
+            .front()
+            .is_some_and(|(at, _)| now - at > 2.0 * window_s)
+        {
+            self.events.pop_front();
+        }
+    }
+
+    /// Events per second over the last window, or over the time since `from` if that is shorter.
+    pub fn rate(&self, window_s: f64, from: f64, now: f64) -> f64 {
+        let span = window_s.min(now - from).max(1.0);
+        self.sum(now - span, now) / span
+    }
+
+    /// The rate with its trend carried on by one window; never below half of the present rate.
+    pub fn forecast(&self, window_s: f64, from: f64, now: f64) -> f64 {
+        let rate = self.rate(window_s, from, now);
+        if now - from < 2.0 * window_s {
+            return rate;
+        }
+        let before = self.sum(now - 2.0 * window_s, now - window_s) / window_s;
+        (rate + (rate - before)).max(rate / 2.0)
+    }
+
+    fn sum(&self, from: f64, to: f64) -> f64 {
+        self.events
+            .iter()
+            .filter(|(at, _)| *at > from && *at <= to)
+            .map(|(_, weight)| weight)
+            .sum()
+    }
+}
--- /dev/null
+++ b/src/coordination/controller.rs
@@ -0,0 +1,628 @@
+//! One node: takes requests, answers and the passing of time, and says what is to be done.
+
+use super::desk::Desk;
+use super::election::{Election, Outcome, Times};
+use super::leader::{Leader, Notice, ReportAnswer, STATE_SHARE};
+use super::outbox::{Action, CloudAsk, Outbox, StoreAsk, Tag};
+use super::watch::{News, Watch};
+use crate::bookkeeping::hosts::Room;
+use crate::bookkeeping::quotas::Quotas;
+use crate::bookkeeping::records::{self, LeaderRecord};
+use crate::policy::Policy;
+use crate::protocol::cloud::{CloudCall, CloudReply, Flavor};
+use crate::protocol::job::{self, JobSpec};
+use crate::protocol::peer::Beat;
+use crate::protocol::state::{StoreCall, StoreReply, Txn, Write};
+use crate::protocol::worker::{Commands, Redirect, Report, WorkerReply};
+use crate::protocol::{cbor, state};
+use crate::settings::Settings;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// The times of an input.
+#[derive(Debug, Clone, Copy)]
+pub struct Now {
+    /// Steady clock, in seconds since the node started.
+    pub steady: f64,
+    /// Time of day, in seconds.
+    pub wall: f64,
+}
+
+struct Peer {
+    beat: Beat,
+    at: f64,
+}
+
+/// A node.
+pub struct Controller {
+    settings: Rc<Settings>,
+    policy: Rc<Policy>,
+    out: Outbox,
+    desk: Desk,
+    jobs_watch: Watch,
+    leader_watch: Watch,
+    election: Election,
+    leader: Option<Leader>,
+    flavors: Option<Rc<Vec<Flavor>>>,
+    stored_flavors: Option<Rc<Vec<Flavor>>>,
+    flavors_at: f64,
+    catalogue_read: bool,
+    quotas: Quotas,
+    peers: HashMap<String, Peer>,
+    /// Workers that knocked here while another node leads, and when.
+    knocks: HashMap<String, f64>,
+    beat_at: f64,
+    state_ok_at: Option<f64>,
+    hold_over_s: f64,
+    rng: SmallRng,
+}
+
+/// Workers whose knocks are remembered.
+const MAX_KNOCKS: usize = 4096;
+
+/// Report intervals of silence from all workers that are more than chance.
+const SILENT_REPORTS: f64 = 1.6;
+
+impl Controller {
+    /// A node that has just started; `seed` tells this life from others.
+    pub fn new(settings: Rc<Settings>, policy: Rc<Policy>, seed: u64) -> Controller {
+        let workers = &settings.deployment.workers;
+        let times = Times::new(workers.lease_s);
+        let patience_s = workers.report_s / 2.0;
+        let nodes = f64::from(settings.deployment.initial_size).max(1.0);
+        let share = (1.0 - STATE_SHARE) / nodes;
+        Controller {
+            out: Outbox::default(),
+            desk: Desk::new(&settings.deployment.state, share, patience_s),
+            jobs_watch: Watch::new(records::OPEN, StoreAsk::Mirror, workers.lease_s, patience_s),
+            leader_watch: Watch::new(
+                records::LEADER,
+                StoreAsk::LeaderWatch,
+                workers.lease_s,
+                patience_s,
+            ),
+            election: Election::new(&settings.label, seed, times),
+            leader: None,
+            flavors: None,
+            stored_flavors: None,
+            flavors_at: 0.0,
+            catalogue_read: false,
+            quotas: Quotas::new(&settings.deployment.teams),
+            peers: HashMap::new(),
+            knocks: HashMap::new(),
+            beat_at: 0.0,
+            state_ok_at: None,
+            hold_over_s: times.hold_over_s,
+            rng: SmallRng::seed_from_u64(seed),
+            settings,
+            policy,
+        }
+    }
+
+    /// Takes the actions that have come together.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.out.actions)
+    }
+
+    /// Whether this node leads, confirmed or held over.
+    pub fn leads(&self) -> bool {
+        self.leader.is_some()
+    }
+
+    fn report_s(&self) -> f64 {
+        self.settings.deployment.workers.report_s
+    }
+
+    // ---- requests of users and workers
+
+    /// Takes a request.
+    pub fn request(&mut self, to: u64, method: &str, path: &str, body: &[u8], now: Now) {
+        let mut parts = path.trim_start_matches('/').split('/');
+        let parts = (parts.next(), parts.next(), parts.next(), parts.next());
+        let wanted = match parts {
+            (Some("healthz"), None, ..) => "GET",
+            (Some("v1"), Some("report"), None, _) => "POST",
+            (Some("work"), None, ..) => "POST",
+            (Some("work"), Some(id), None, _) if !id.is_empty() => "GET",
+            (Some("work"), Some(id), Some("cancel"), None) if !id.is_empty() => "POST",
+            _ => {
+                self.out.refuse(to, 404, "no such path", None);
+                return;
+            }
+        };
+        if method != wanted {
+            self.out.refuse(to, 405, "wrong method", None);
+            return;
+        }
+        match parts {
+            (Some("healthz"), ..) => self.health(to, now.steady),
+            (Some("v1"), ..) => self.report(to, body, now.steady),
+            (_, None, ..) => self.submit(to, body, now),
+            (_, Some(id), None, _) if job::valid_id(id) => {
+                self.desk.poll(to, id, &mut self.out, now.steady);
+            }
+            (_, Some(id), Some(_), _) if job::valid_id(id) => {
+                self.desk.cancel(to, id, &mut self.out, now.steady);
+            }
+            _ => self.out.refuse(to, 404, "no such job", None),
+        }
+    }
+
+    fn submit(&mut self, to: u64, body: &[u8], now: Now) {
+        let spec = match job::parse(body, now.wall) {
+            Ok(spec) => spec,
+            Err(error) => {
+                self.out.refuse(to, 400, &error.to_string(), None);
+                return;
+            }
+        };
+        let Some(flavors) = self.flavors.clone() else {
+            self.out
+                .refuse(to, 503, "the machine types are not known yet", Some(1));
+            return;
+        };
+        let verdict = self.could_run(&spec, &flavors);
+        self.desk
+            .submit(to, spec, verdict.err(), &mut self.out, now.steady);
+    }
+
+    fn could_run(&self, spec: &JobSpec, flavors: &[Flavor]) -> Result<(), &'static str> {
+        if !self.quotas.knows(&spec.team) {
+            return Err("unknown team");
+        }
+        if !self.quotas.could_run(spec) {
+            return Err("more than the team's limit");
+        }
+        let need = super::scheduler::need(spec);
+        let fits = flavors.iter().any(|flavor| {
+            Room::of_flavor(flavor).fits(&need)
+                && flavor.zones.iter().any(|zone| {
+                    spec.allows(&flavor.name, zone, false)
+                        || (spec.spot && spec.allows(&flavor.name, zone, true))
+                })
+        });
+        if fits {
+            Ok(())
+        } else {
+            Err("fits no allowed machine type")
+        }
+    }
+
+    fn health(&mut self, to: u64, now: f64) {
+        let window_s = self.report_s();
+        let own = self.state_ok_at.is_some_and(|at| now - at < window_s);
+        // A node that the state service refuses says so only while a peer is served: removals
+        // back off for long, and during an outage all nodes are equally good.
+        let better = self
+            .peers
+            .values()
+            .any(|peer| peer.beat.state_ok && now - peer.at < window_s);
+        if self.flavors.is_some() && self.jobs_watch.listed() && (own || !better) {
+            self.out.answer(to, 200, &"ok");
+        } else {
+            self.out.refuse(to, 503, "not ready", Some(1));
+        }
+    }
+
+    fn report(&mut self, to: u64, body: &[u8], now: f64) {
+        let Ok(report) = cbor::decode::<Report>(body) else {
+            self.out.refuse(to, 400, "not a report", None);
+            return;
+        };
+        let outcome = self.election.notice(report.epoch);
+        self.follow_outcome(outcome, now);
+        let confirmed = self.election.confirmed(now);
+        if let Some(leader) = &mut self.leader {
+            match leader.report(&report, confirmed, now) {
+                ReportAnswer::Orders(orders) => {
+                    let epoch = leader.epoch();
+                    let answer = Commands {
+                        epoch,
+                        tenure: None,
+                        orders,
+                    };
+                    self.out.answer(to, 200, &answer);
+                    self.drive(now);
+                    return;
+                }
+                ReportAnswer::Superseded => {}
+            }
+        }
+        if self.knocks.len() < MAX_KNOCKS {
+            self.knocks.insert(report.host, now);
+        }
+        let foreman = self.foreman(now);
+        self.out.answer(to, 421, &Redirect { foreman });
+    }
+
+    /// The node to which workers are sent: the leader, unless that is this node or it is not
+    /// certain that it still leads.
+    fn foreman(&self, now: f64) -> Option<String> {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now - peer.at < self.report_s() && peer.beat.epoch > 0)
+            .max_by_key(|peer| peer.beat.epoch);
+        let known = match fresh {
+            Some(peer) if peer.beat.epoch >= self.election.highest() => peer.beat.leader.clone(),
+            _ => self.election.leader().map(str::to_owned),
+        };
+        known.filter(|label| *label != self.settings.label)
+    }
+
+    // ---- answers
+
+    /// Takes an answer of the state service.
+    pub fn store_reply(&mut self, tag: Tag, reply: StoreReply, now: Now) {
+        let Some((ask, sent)) = self.out.store_ask(tag) else {
+            return;
+        };
+        let t = now.steady;
+        if !matches!(reply, StoreReply::Refused | StoreReply::Silent) {
+            self.state_ok_at = Some(t);
+        }
+        match ask {
+            StoreAsk::Mirror => {
+                for news in self.jobs_watch.reply(reply, t) {
+                    self.job_news(news, now);
+                }
+            }
+            StoreAsk::LeaderWatch => {
+                for news in self.leader_watch.reply(reply, t) {
+                    self.leader_news(news, t);
+                }
+            }
+            StoreAsk::Grant | StoreAsk::Take | StoreAsk::Renew | StoreAsk::Drop => {
+                let outcome = self.election.reply(&ask, &reply, sent, &mut self.out, t);
+                self.follow_outcome(outcome, t);
+            }
+            StoreAsk::Check => self.desk.checked(reply, &mut self.out, t),
+            StoreAsk::Write => {
+                let opened = self.desk.written(reply, &mut self.out, t);
+                if let Some(leader) = &mut self.leader {
+                    for (stamp, spec) in opened {
+                        leader.opened(stamp, &spec, t, now.wall);
+                    }
+                }
+            }
+            StoreAsk::Look(id) => self.desk.looked(&id, reply, &mut self.out, t),
+            StoreAsk::Load(epoch) => {
+                if let Some(leader) = self.leader_of(epoch) {
+                    leader.loaded(reply, t, now.wall);
+                }
+            }
+            StoreAsk::Ledger(epoch) => {
+                if let Some(leader) = self.leader_of(epoch) {
+                    leader.written(reply, t);
+                }
+            }
+            StoreAsk::Catalogue => {
+                if let StoreReply::Found(item) = &reply
+                    && let Ok(flavors) = cbor::from_value::<Vec<Flavor>>(&item.value)
+                {
+                    let flavors = Rc::new(flavors);
+                    self.stored_flavors = Some(flavors.clone());
+                    if self.flavors.is_none() {
+                        self.set_flavors(flavors);
+                    }
+                }
+                self.catalogue_read |= matches!(reply, StoreReply::Found(_) | StoreReply::Missing);
+            }
+            StoreAsk::Ignored => {}
+        }
+        self.drive(t);
+    }
+
+    fn leader_of(&mut self, epoch: u64) -> Option<&mut Leader> {
+        self.leader
+            .as_mut()
+            .filter(|leader| leader.epoch() == epoch)
+    }
+
+    /// Takes an answer of the cloud.
+    pub fn cloud_reply(&mut self, tag: Tag, reply: CloudReply, now: Now) {
+        let Some(ask) = self.out.cloud_ask(tag) else {
+            return;
+        };
+        let t = now.steady;
+        match ask {
+            CloudAsk::Types => match reply {
+                CloudReply::Types(flavors) => {
+                    self.flavors_at = t + 2.0 * self.settings.deployment.workers.lease_s;
+                    self.set_flavors(Rc::new(flavors));
+                }
+                _ => self.flavors_at = t + self.report_s(),
+            },
+            CloudAsk::List(epoch) => {
+                if let Some(leader) = self.leader_of(epoch) {
+                    leader.listed(reply, t);
+                }
+            }
+            CloudAsk::Rent(epoch, bid) => {
+                if let Some(leader) = self.leader_of(epoch) {
+                    leader.rented(&bid, reply, t);
+                }
+            }
+            CloudAsk::Delete(epoch, hosts) => {
+                if let Some(leader) = self.leader_of(epoch) {
+                    leader.deleted(&hosts, &reply, t);
+                }
+            }
+        }
+        self.drive(t);
+    }
+
+    /// Takes what came of a direct call to a worker.
+    pub fn worker_reply(&mut self, tag: Tag, reply: WorkerReply, now: Now) {
+        let Some(ask) = self.out.worker_ask(tag) else {
+            return;
+        };
+        if let Some(leader) = self.leader_of(ask.epoch) {
+            leader.pushed(&ask, reply, now.steady);
+        }
+        self.drive(now.steady);
+    }
+
+    /// Takes a peer's word.
+    pub fn beat(&mut self, beat: Beat, now: Now) {
+        let known = self
+            .settings
+            .seeds
+            .iter()
+            .any(|seed| seed.label == beat.label);
+        if !known {
+            return;
+        }
+        let outcome = self.election.notice(beat.epoch);
+        self.follow_outcome(outcome, now.steady);
+        if self.leader.is_none() {
+            self.desk.note_counts(&beat.counts);
+        }
+        let label = beat.label.clone();
+        let at = now.steady;
+        self.peers.insert(label, Peer { beat, at });
+    }
+
+    fn set_flavors(&mut self, flavors: Rc<Vec<Flavor>>) {
+        if let Some(leader) = &mut self.leader {
+            leader.set_flavors(flavors.clone());
+        }
+        self.flavors = Some(flavors);
+    }
+
+    fn job_news(&mut self, news: News, now: Now) {
+        match news {
+            News::Reset(items, revision) => {
+                let listed: HashMap<String, state::Item> = items
+                    .into_iter()
+                    .filter_map(|item| {
+                        let id = item.key.strip_prefix(records::OPEN)?.to_owned();
+                        Some((id, item))
+                    })
+                    .collect();
+                let closed: Vec<String> = self
+                    .desk
+                    .open
+                    .iter()
+                    .filter(|(id, (stamp, _))| *stamp <= revision && !listed.contains_key(*id))
+                    .map(|(id, _)| id.clone())
+                    .collect();
+                for id in closed {
+                    self.job_closed(&id);
+                }
+                for (id, item) in listed {
+                    self.job_opened(&id, item.stamp, &item.value, now);
+                }
+            }
+            News::Set(key, value, stamp) => {
+                if let Some(id) = key.strip_prefix(records::OPEN) {
+                    self.job_opened(id, stamp, &value, now);
+                }
+            }
+            News::Removed(key) => {
+                if let Some(id) = key.strip_prefix(records::OPEN) {
+                    self.job_closed(id);
+                }
+            }
+        }
+    }
+
+    fn job_opened(&mut self, id: &str, stamp: u64, value: &ciborium::Value, now: Now) {
+        match cbor::from_value::<JobSpec>(value) {
+            Ok(spec) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.opened(stamp, &spec, now.steady, now.wall);
+                }
+                self.desk.note_open(stamp, spec);
+            }
+            Err(error) => tracing::error!(id, %error, "unreadable job"),
+        }
+    }
+
+    fn job_closed(&mut self, id: &str) {
+        self.desk.note_closed(id);
+        if let Some(leader) = &mut self.leader {
+            leader.closed(id);
+        }
+    }
+
+    fn leader_news(&mut self, news: News, now: f64) {
+        let jitter = self.rng.random::<f64>();
+        let outcome = match news {
+            News::Reset(items, _) => {
+                let known = items
+                    .iter()
+                    .find(|item| item.key == records::LEADER)
+                    .and_then(|item| Some((read_leader(&item.value)?, item.stamp)));
+                self.election.observe(known, jitter, now)
+            }
+            News::Set(key, value, stamp) if key == records::LEADER => match read_leader(&value) {
+                Some(record) => self.election.observe(Some((record, stamp)), jitter, now),
+                None => Outcome::Same,
+            },
+            News::Removed(key) if key == records::LEADER => self.election.removed(jitter, now),
+            _ => Outcome::Same,
+        };
+        self.follow_outcome(outcome, now);
+    }
+
+    // ---- leadership
+
+    fn follow_outcome(&mut self, outcome: Outcome, now: f64) {
+        match outcome {
+            Outcome::Same => {}
+            Outcome::Won(epoch) => {
+                tracing::info!(epoch, "this node leads");
+                let flavors = self.flavors.clone().unwrap_or_default();
+                self.leader = Some(Leader::new(
+                    epoch,
+                    self.settings.clone(),
+                    self.policy.clone(),
+                    flavors,
+                    self.hold_over_s,
+                    SmallRng::from_rng(&mut self.rng),
+                    now,
+                ));
+                self.beat_at = now;
+            }
+            Outcome::Lost => {
+                if let Some(leader) = self.leader.take() {
+                    tracing::info!(epoch = leader.epoch(), "this node no longer leads");
+                }
+            }
+        }
+    }
+
+    /// Does all that is due.
+    pub fn tick(&mut self, now: Now) {
+        let t = now.steady;
+        self.jobs_watch.drive(&mut self.out, t);
+        self.leader_watch.drive(&mut self.out, t);
+        let watching = self.leader_watch.listed();
+        let outcome = self.election.drive(watching, &mut self.out, t);
+        self.follow_outcome(outcome, t);
+        self.drive_catalogue(t);
+        self.desk.drive(&mut self.out, t);
+        self.drive_beats(t);
+        self.yield_if_unreachable(t);
+        self.drive(t);
+    }
+
+    /// Leader's work, and what it has to tell the rest of the node.
+    fn drive(&mut self, now: f64) {
+        self.jobs_watch.drive(&mut self.out, now);
+        self.leader_watch.drive(&mut self.out, now);
+        let confirmed = self.election.confirmed(now);
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        leader.drive(confirmed, &mut self.out, now);
+        for notice in leader.take_notices() {
+            let outcome = match notice {
+                Notice::Over(id, record) => {
+                    self.desk.note_over(&id, record);
+                    Outcome::Same
+                }
+                Notice::Epoch(epoch) => self.election.notice(epoch),
+                Notice::Deposed => self.election.deposed(),
+            };
+            self.follow_outcome(outcome, now);
+        }
+    }
+
+    fn drive_catalogue(&mut self, now: f64) {
+        if now < self.flavors_at {
+            return;
+        }
+        self.flavors_at = now + self.settings.deployment.workers.lease_s;
+        let within_s = self.report_s() * 2.0;
+        self.out.cloud(CloudAsk::Types, CloudCall::Types, within_s);
+        if !self.catalogue_read {
+            // Kept there by a leader for nodes that start while the cloud is out.
+            let call = StoreCall::Get(records::CATALOGUE.to_owned());
+            self.out.store(StoreAsk::Catalogue, call, within_s, now);
+        } else if self.leader.is_some()
+            && let Some(flavors) = &self.flavors
+            && self
+                .stored_flavors
+                .as_ref()
+                .is_none_or(|stored| !same_types(stored, flavors))
+        {
+            let txn = Txn {
+                when: Vec::new(),
+                writes: vec![Write::set(records::CATALOGUE, flavors.as_ref())],
+            };
+            self.stored_flavors = Some(flavors.clone());
+            self.out
+                .store(StoreAsk::Ignored, StoreCall::Txn(txn), within_s, now);
+        }
+    }
+
+    fn drive_beats(&mut self, now: f64) {
+        if now < self.beat_at {
+            return;
+        }
+        self.beat_at = now + self.report_s() / 2.5;
+        let window_s = self.report_s() * 2.0;
+        self.knocks.retain(|_, at| now - *at < window_s);
+        let counts = match &self.leader {
+            Some(leader) => leader.counts(),
+            None => Vec::new(),
+        };
+        self.desk.note_counts(&counts);
+        let beat = Beat {
+            label: self.settings.label.clone(),
+            epoch: self.election.highest(),
+            leader: self.election.leader().map(str::to_owned),
+            state_ok: self
+                .state_ok_at
+                .is_some_and(|at| now - at < self.report_s()),
+            knocks: self.knocks.len() as u32,
+            counts,
+        };
+        self.out.actions.push(Action::Beat(beat));
+    }
+
+    /// A leader that workers can't reach gives up its lease, when they knock at its peers or when
+    /// the peers are silent too.
+    fn yield_if_unreachable(&mut self, now: f64) {
+        let Some(leader) = &self.leader else { return };
+        let silent_s = leader.silent_for(now);
+        if self.settings.seeds.is_empty() || silent_s < SILENT_REPORTS * self.report_s() {
+            return;
+        }
+        let fresh = self.report_s() * 2.0;
+        let mut heard = self
+            .peers
+            .values()
+            .filter(|peer| now - peer.at < fresh)
+            .peekable();
+        let alone = heard.peek().is_none();
+        let knocked = heard.any(|peer| peer.beat.knocks > 0);
+        if knocked || (alone && silent_s > self.settings.deployment.workers.lease_s / 2.0) {
+            tracing::info!("workers can't reach this node: giving up the lead");
+            let outcome = self.election.give_up(&mut self.out, now);
+            self.follow_outcome(outcome, now);
+        }
+    }
+}
+
+fn read_leader(value: &ciborium::Value) -> Option<LeaderRecord> {
+    cbor::from_value(value).ok()
+}
+
+/// Whether two catalogues differ in their prices at most.
+fn same_types(a: &[Flavor], b: &[Flavor]) -> bool {
+    let plain = |flavors: &[Flavor]| {
+        flavors
+            .iter()
+            .map(|flavor| Flavor {
+                market_price: flavor.market_price.map(|_| 0.0),
+                ..flavor.clone()
+            })
+            .collect::<Vec<_>>()
+    };
+    plain(a) == plain(b)
+}
--- /dev/null
+++ b/src/coordination/desk.rs
@@ -0,0 +1,594 @@
+//! The users' desk: submits, polls and cancels, the same on every node.
+//!
+//! A final state never changes and is answered from memory. Any other answer is confirmed by the
+//! state service, many at a time: open jobs never change their key, so a comparison of versions
+//! shows that they are still open. So no node can give an older answer than another has given.
+
+use super::outbox::{Outbox, StoreAsk};
+use crate::bookkeeping::budget::Bucket;
+use crate::bookkeeping::records::{self, Ending, OverRecord};
+use crate::protocol::cbor;
+use crate::protocol::job::{JobSpec, JobStatus, JobView};
+use crate::protocol::peer::Counts;
+use crate::protocol::state::{CONDITIONS_PER_OP, Condition, StoreCall, StoreReply, Txn, Write};
+use crate::settings::StateLimits;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+/// What a user wants.
+#[derive(Debug, Clone)]
+enum Wish {
+    Poll,
+    Submit(Rc<JobSpec>),
+    /// Submitted, but can never run: refused for this reason, unless it was accepted before.
+    Hopeless(&'static str),
+    Cancel,
+}
+
+#[derive(Debug, Clone)]
+struct Ticket {
+    request: u64,
+    id: String,
+    wish: Wish,
+    until: f64,
+    /// The comparison on its way takes the job to be open.
+    compared_open: bool,
+}
+
+/// A look at the keys of one job, for those who ask.
+#[derive(Debug, Default)]
+struct Look {
+    tickets: Vec<Ticket>,
+    /// Those who came while the look was on its way: what it finds may be older than their request.
+    later: Vec<Ticket>,
+    stage: Stage,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Queued,
+    Open,
+    Over,
+}
+
+/// What is known of a job's key.
+#[derive(Debug, Clone)]
+enum Fate {
+    Open(u64, Rc<JobSpec>),
+    Over(OverRecord),
+    Never,
+}
+
+/// Open jobs with their versions.
+pub type OpenJobs = HashMap<String, (u64, Rc<JobSpec>)>;
+
+/// Final states kept in memory.
+const FINALS: usize = 20_000;
+/// Tickets that may wait; more are refused at once.
+const MAX_WAITING: usize = 2_000;
+/// Jobs looked up at a time.
+const MAX_LOOKS: usize = 16;
+
+/// A node's desk.
+#[derive(Debug)]
+pub struct Desk {
+    /// Open jobs, as the watch shows them; perhaps late.
+    pub open: OpenJobs,
+    finals: HashMap<String, OverRecord>,
+    finals_order: VecDeque<String>,
+    /// Display counts, from the leader.
+    pub counts: HashMap<String, (u32, u32)>,
+    polls: VecDeque<Ticket>,
+    writes: VecDeque<Ticket>,
+    looks: HashMap<String, Look>,
+    look_queue: VecDeque<String>,
+    looking: usize,
+    checking: Option<Vec<Ticket>>,
+    writing: Option<Vec<Ticket>>,
+    requests: Bucket,
+    changes: Bucket,
+    limits: StateLimits,
+    patience_s: f64,
+    /// The state service refused us at this time; requests are then refused at once.
+    refused_at: Option<f64>,
+}
+
+/// When users are told to come back.
+const RETRY_AFTER_S: u32 = 1;
+
+impl Desk {
+    /// A desk that may use this share of the state service's limits.
+    pub fn new(limits: &StateLimits, share: f64, patience_s: f64) -> Desk {
+        let rate = |all: f64| Bucket::new(all * share, (all * share).max(4.0));
+        Desk {
+            open: HashMap::new(),
+            finals: HashMap::new(),
+            finals_order: VecDeque::new(),
+            counts: HashMap::new(),
+            polls: VecDeque::new(),
+            writes: VecDeque::new(),
+            looks: HashMap::new(),
+            look_queue: VecDeque::new(),
+            looking: 0,
+            checking: None,
+            writing: None,
+            requests: rate(limits.rps),
+            changes: rate(limits.write_rps),
+            limits: limits.clone(),
+            patience_s,
+            refused_at: None,
+        }
+    }
+
+    /// Notes an open job.
+    pub fn note_open(&mut self, stamp: u64, spec: JobSpec) {
+        if !self.finals.contains_key(&spec.id) {
+            self.open.insert(spec.id.clone(), (stamp, Rc::new(spec)));
+        }
+    }
+
+    /// Notes that a job is no longer open; how it ended is looked up when somebody asks.
+    pub fn note_closed(&mut self, id: &str) {
+        self.open.remove(id);
+        self.counts.remove(id);
+    }
+
+    /// Notes how a job ended.
+    pub fn note_over(&mut self, id: &str, record: OverRecord) {
+        self.open.remove(id);
+        self.counts.remove(id);
+        if self.finals.insert(id.to_owned(), record).is_none() {
+            self.finals_order.push_back(id.to_owned());
+            if self.finals_order.len() > FINALS
+                && let Some(oldest) = self.finals_order.pop_front()
+            {
+                self.finals.remove(&oldest);
+            }
+        }
+    }
+
+    /// Takes the leader's display counts.
+    pub fn note_counts(&mut self, counts: &[Counts]) {
+        for c in counts {
+            if self.open.contains_key(&c.job) {
+                self.counts.insert(c.job.clone(), (c.done, c.running));
+            }
+        }
+    }
+
+    /// A user polls.
+    pub fn poll(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
+        if let Some(record) = self.finals.get(id) {
+            let view = over_view(id, record);
+            out.answer(request, 200, &view);
+            return;
+        }
+        self.admit(request, id, Wish::Poll, out, now);
+    }
+
+    /// A user submits a job, which may be one that can never run.
+    pub fn submit(
+        &mut self,
+        request: u64,
+        spec: JobSpec,
+        hopeless: Option<&'static str>,
+        out: &mut Outbox,
+        now: f64,
+    ) {
+        if let Some(record) = self.finals.get(&spec.id) {
+            let status = over_status(record);
+            out.answer_state(request, 200, &spec.id, status);
+            return;
+        }
+        let id = spec.id.clone();
+        let wish = match hopeless {
+            Some(why) => Wish::Hopeless(why),
+            None => Wish::Submit(Rc::new(spec)),
+        };
+        self.admit(request, &id, wish, out, now);
+    }
+
+    /// A user cancels.
+    pub fn cancel(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
+        if let Some(record) = self.finals.get(id) {
+            let status = over_status(record);
+            out.answer_state(request, 200, id, status);
+            return;
+        }
+        self.admit(request, id, Wish::Cancel, out, now);
+    }
+
+    fn admit(&mut self, request: u64, id: &str, wish: Wish, out: &mut Outbox, now: f64) {
+        let waiting = self.polls.len()
+            + self.writes.len()
+            + self
+                .looks
+                .values()
+                .map(|look| look.tickets.len() + look.later.len())
+                .sum::<usize>();
+        if waiting >= MAX_WAITING {
+            out.refuse(request, 429, "too much at once", Some(RETRY_AFTER_S));
+            return;
+        }
+        // A request that the state service can't confirm now is refused at once, not held back.
+        if self
+            .refused_at
+            .is_some_and(|at| now - at < self.patience_s / 2.0)
+        {
+            out.refuse(
+                request,
+                503,
+                "the state service is out",
+                Some(RETRY_AFTER_S),
+            );
+            return;
+        }
+        let ticket = Ticket {
+            request,
+            id: id.to_owned(),
+            wish,
+            until: now + 1.5 * self.patience_s,
+            compared_open: false,
+        };
+        match ticket.wish {
+            Wish::Poll => self.polls.push_back(ticket),
+            Wish::Submit(_) => self.writes.push_back(ticket),
+            Wish::Cancel if self.open.contains_key(id) => self.writes.push_back(ticket),
+            Wish::Cancel | Wish::Hopeless(_) => self.look(ticket),
+        }
+        self.drive(out, now);
+    }
+
+    fn look(&mut self, ticket: Ticket) {
+        let id = ticket.id.clone();
+        let look = self.looks.entry(id.clone()).or_default();
+        if look.stage != Stage::Queued {
+            look.later.push(ticket);
+            return;
+        }
+        if look.tickets.is_empty() {
+            self.look_queue.push_back(id);
+        }
+        look.tickets.push(ticket);
+    }
+
+    fn look_at(&mut self, id: &str, stage: Stage, out: &mut Outbox, now: f64) {
+        if let Some(look) = self.looks.get_mut(id) {
+            look.stage = stage;
+        }
+        let key = match stage {
+            Stage::Over => records::over(id),
+            _ => records::open(id),
+        };
+        let ask = StoreAsk::Look(id.to_owned());
+        out.store(ask, StoreCall::Get(key), self.patience_s / 2.0, now);
+    }
+
+    /// Makes the calls that are due.
+    pub fn drive(&mut self, out: &mut Outbox, now: f64) {
+        self.expire(out, now);
+        self.drive_polls(out, now);
+        self.drive_writes(out, now);
+        while self.looking < MAX_LOOKS && !self.look_queue.is_empty() {
+            if !self.requests.take(2.0, now) {
+                break;
+            }
+            let Some(id) = self.look_queue.pop_front() else {
+                break;
+            };
+            self.looking += 1;
+            self.look_at(&id, Stage::Open, out, now);
+        }
+    }
+
+    fn expire(&mut self, out: &mut Outbox, now: f64) {
+        let late = |ticket: &Ticket| now >= ticket.until;
+        let mut dropped = Vec::new();
+        for queue in [&mut self.polls, &mut self.writes] {
+            if queue.iter().any(late) {
+                dropped.extend(queue.iter().filter(|t| late(t)).map(|t| t.request));
+                queue.retain(|t| !late(t));
+            }
+        }
+        for request in dropped {
+            out.refuse(request, 503, "no decision in time", Some(RETRY_AFTER_S));
+        }
+    }
+
+    fn drive_polls(&mut self, out: &mut Outbox, now: f64) {
+        if self.checking.is_some() || self.polls.is_empty() || !self.requests.take(1.0, now) {
+            return;
+        }
+        let most = CONDITIONS_PER_OP * self.limits.txn_ops / 2;
+        let count = self.polls.len().min(most);
+        let mut batch: Vec<Ticket> = self.polls.drain(..count).collect();
+        let mut ids = HashSet::new();
+        let mut when = Vec::new();
+        for ticket in &mut batch {
+            ticket.compared_open = self.open.contains_key(&ticket.id);
+            if ids.insert(ticket.id.clone()) {
+                match self.open.get(&ticket.id) {
+                    Some((stamp, _)) => {
+                        when.push(Condition::new(records::open(&ticket.id), *stamp))
+                    }
+                    None => {
+                        when.push(Condition::new(records::open(&ticket.id), 0));
+                        when.push(Condition::new(records::over(&ticket.id), 0));
+                    }
+                }
+            }
+        }
+        self.checking = Some(batch);
+        let txn = Txn {
+            when,
+            writes: Vec::new(),
+        };
+        out.store(StoreAsk::Check, StoreCall::Txn(txn), self.patience_s, now);
+    }
+
+    fn drive_writes(&mut self, out: &mut Outbox, now: f64) {
+        if self.writing.is_some() || self.writes.is_empty() {
+            return;
+        }
+        let level = self.changes.level(now).min(self.limits.txn_ops as f64);
+        let mut txn = Txn::default();
+        let mut batch: Vec<Ticket> = Vec::new();
+        let mut later = VecDeque::new();
+        let mut bytes = 0;
+        while let Some(ticket) = self.writes.pop_front() {
+            // Two wishes for the same job don't go into one transaction.
+            if batch.iter().any(|other| other.id == ticket.id) {
+                later.push_back(ticket);
+                continue;
+            }
+            let open = records::open(&ticket.id);
+            let over = records::over(&ticket.id);
+            let (stamp, writes) = match &ticket.wish {
+                Wish::Submit(spec) => (0, vec![Write::set(open.clone(), spec.as_ref())]),
+                _ => {
+                    let Some((stamp, _)) = self.open.get(&ticket.id) else {
+                        self.look(ticket);
+                        continue;
+                    };
+                    let done = self.counts.get(&ticket.id).map_or(0, |(done, _)| *done);
+                    let record = OverRecord {
+                        ending: Ending::Aborted,
+                        done,
+                    };
+                    let writes = vec![
+                        Write::remove(open.clone()),
+                        Write::set(over.clone(), &record),
+                    ];
+                    (*stamp, writes)
+                }
+            };
+            let size: usize = writes.iter().map(Write::json_size).sum();
+            let full = txn.writes.len() + writes.len() > level as usize
+                || (!batch.is_empty() && bytes + size > crate::protocol::state::TXN_BYTES / 2);
+            if full {
+                later.push_back(ticket);
+                break;
+            }
+            bytes += size;
+            txn.when.push(Condition::new(open, stamp));
+            txn.when.push(Condition::new(over, 0));
+            txn.writes.extend(writes);
+            batch.push(ticket);
+        }
+        while let Some(ticket) = later.pop_back() {
+            self.writes.push_front(ticket);
+        }
+        if batch.is_empty() {
+            return;
+        }
+        self.changes.force(txn.writes.len() as f64, now);
+        self.requests.force(1.0, now);
+        self.writing = Some(batch);
+        out.store(StoreAsk::Write, StoreCall::Txn(txn), self.patience_s, now);
+    }
+
+    fn note_reply(&mut self, reply: &StoreReply, now: f64) {
+        self.refused_at = matches!(reply, StoreReply::Refused).then_some(now);
+    }
+
+    /// The answer to the comparison for polls.
+    pub fn checked(&mut self, reply: StoreReply, out: &mut Outbox, now: f64) {
+        self.note_reply(&reply, now);
+        for ticket in self.checking.take().unwrap_or_default() {
+            match &reply {
+                StoreReply::Committed(_) => self.answer_poll(ticket, out),
+                StoreReply::Conflict(failed) => {
+                    let touched = |key: String| failed.contains(&key);
+                    if failed.is_empty()
+                        || touched(records::open(&ticket.id))
+                        || touched(records::over(&ticket.id))
+                    {
+                        self.look(ticket);
+                    } else {
+                        self.polls.push_back(ticket);
+                    }
+                }
+                StoreReply::Busy => self.polls.push_back(ticket),
+                _ => out.refuse(
+                    ticket.request,
+                    503,
+                    "the state service is out",
+                    Some(RETRY_AFTER_S),
+                ),
+            }
+        }
+        self.drive(out, now);
+    }
+
+    /// Answers a poll by a comparison that held. What has become known since then is newer and
+    /// goes first; a job that was open and has been closed since is looked up, never denied.
+    fn answer_poll(&mut self, ticket: Ticket, out: &mut Outbox) {
+        if let Some(record) = self.finals.get(&ticket.id) {
+            out.answer(ticket.request, 200, &over_view(&ticket.id, record));
+        } else if self.open.contains_key(&ticket.id) {
+            out.answer(ticket.request, 200, &self.open_view(&ticket.id));
+        } else if ticket.compared_open {
+            self.look(ticket);
+        } else {
+            out.refuse(ticket.request, 404, "no such job", None);
+        }
+    }
+
+    fn open_view(&self, id: &str) -> JobView {
+        let (done, running) = self.counts.get(id).copied().unwrap_or((0, 0));
+        let status = if running > 0 {
+            JobStatus::Running
+        } else {
+            JobStatus::Queued
+        };
+        JobView {
+            id: id.to_owned(),
+            status,
+            done,
+            running,
+        }
+    }
+
+    /// The answer to submits and cancels. Returns the jobs that were opened.
+    pub fn written(
+        &mut self,
+        reply: StoreReply,
+        out: &mut Outbox,
+        now: f64,
+    ) -> Vec<(u64, Rc<JobSpec>)> {
+        self.note_reply(&reply, now);
+        let mut opened = Vec::new();
+        let batch = self.writing.take().unwrap_or_default();
+        for ticket in batch {
+            match &reply {
+                StoreReply::Committed(stamp) => match &ticket.wish {
+                    Wish::Submit(spec) => {
+                        self.open.insert(ticket.id.clone(), (*stamp, spec.clone()));
+                        opened.push((*stamp, spec.clone()));
+                        out.answer_state(ticket.request, 201, &ticket.id, JobStatus::Queued);
+                    }
+                    _ => {
+                        let done = self.counts.get(&ticket.id).map_or(0, |(done, _)| *done);
+                        let record = OverRecord {
+                            ending: Ending::Aborted,
+                            done,
+                        };
+                        self.note_over(&ticket.id, record);
+                        out.answer_state(ticket.request, 200, &ticket.id, JobStatus::Aborted);
+                    }
+                },
+                StoreReply::Conflict(failed) => {
+                    let touched = |key: String| failed.contains(&key);
+                    if failed.is_empty()
+                        || touched(records::open(&ticket.id))
+                        || touched(records::over(&ticket.id))
+                    {
+                        self.look(ticket);
+                    } else {
+                        self.writes.push_back(ticket);
+                    }
+                }
+                StoreReply::Busy => self.writes.push_back(ticket),
+                // It may have been applied: look, and answer by what is there.
+                StoreReply::Silent => self.look(ticket),
+                _ => out.refuse(
+                    ticket.request,
+                    503,
+                    "the state service is out",
+                    Some(RETRY_AFTER_S),
+                ),
+            }
+        }
+        self.drive(out, now);
+        opened
+    }
+
+    /// The answer to a look at a job's keys: first `open/`, then `over/`, so that a job that moves
+    /// from the one to the other in between is not missed.
+    pub fn looked(&mut self, id: &str, reply: StoreReply, out: &mut Outbox, now: f64) {
+        self.note_reply(&reply, now);
+        let stage = self.looks.get(id).map_or(Stage::Queued, |look| look.stage);
+        let fate = match reply {
+            StoreReply::Found(item) if item.key == records::open(id) => {
+                match cbor::from_value::<JobSpec>(&item.value) {
+                    Ok(spec) => Some(Fate::Open(item.stamp, Rc::new(spec))),
+                    Err(_) => None,
+                }
+            }
+            StoreReply::Found(item) => cbor::from_value(&item.value).ok().map(Fate::Over),
+            StoreReply::Missing if stage == Stage::Open => {
+                self.look_at(id, Stage::Over, out, now);
+                return;
+            }
+            StoreReply::Missing => Some(Fate::Never),
+            _ => None,
+        };
+        self.looking = self.looking.saturating_sub(1);
+        let Some(look) = self.looks.remove(id) else {
+            return;
+        };
+        match &fate {
+            Some(Fate::Open(stamp, spec)) => {
+                self.open.insert(id.to_owned(), (*stamp, spec.clone()));
+            }
+            Some(Fate::Over(record)) => self.note_over(id, *record),
+            Some(Fate::Never) => {
+                self.open.remove(id);
+            }
+            None => {}
+        }
+        for ticket in look.later {
+            self.look(ticket);
+        }
+        for ticket in look.tickets {
+            self.resolve(ticket, fate.as_ref(), out, now);
+        }
+        self.drive(out, now);
+    }
+
+    fn resolve(&mut self, ticket: Ticket, fate: Option<&Fate>, out: &mut Outbox, now: f64) {
+        let request = ticket.request;
+        if fate.is_none() || (now >= ticket.until && !matches!(fate, Some(Fate::Over(_)))) {
+            out.refuse(request, 503, "no decision in time", Some(RETRY_AFTER_S));
+            return;
+        }
+        match (fate, &ticket.wish) {
+            (Some(Fate::Over(record)), Wish::Poll) => {
+                out.answer(request, 200, &over_view(&ticket.id, record));
+            }
+            (Some(Fate::Over(record)), _) => {
+                out.answer_state(request, 200, &ticket.id, over_status(record));
+            }
+            (Some(Fate::Open(..)), Wish::Poll) => {
+                out.answer(request, 200, &self.open_view(&ticket.id));
+            }
+            (Some(Fate::Open(..)), Wish::Submit(_) | Wish::Hopeless(_)) => {
+                let status = self.open_view(&ticket.id).status;
+                out.answer_state(request, 200, &ticket.id, status);
+            }
+            (Some(Fate::Open(..)), Wish::Cancel) | (Some(Fate::Never), Wish::Submit(_)) => {
+                self.writes.push_back(ticket);
+            }
+            (Some(Fate::Never), Wish::Hopeless(why)) => out.refuse(request, 422, why, None),
+            (Some(Fate::Never), _) => out.refuse(request, 404, "no such job", None),
+            (None, _) => {}
+        }
+    }
+}
+
+fn over_status(record: &OverRecord) -> JobStatus {
+    match record.ending {
+        Ending::Done => JobStatus::Done,
+        Ending::Aborted => JobStatus::Aborted,
+    }
+}
+
+fn over_view(id: &str, record: &OverRecord) -> JobView {
+    JobView {
+        id: id.to_owned(),
+        status: over_status(record),
+        done: record.done,
+        running: 0,
+    }
+}
--- /dev/null
+++ b/src/coordination/election.rs
@@ -0,0 +1,300 @@
+//! Who leads: `leader` in the state service, attached to a lease.
+
+use super::outbox::{Outbox, StoreAsk};
+use crate::bookkeeping::records::{self, LeaderRecord};
+use crate::protocol::cbor;
+use crate::protocol::state::{Condition, StoreCall, StoreReply, Txn, Write};
+use crate::settings::DRIFT;
+
+/// Times of the election, all ratios of the workers' lease.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// Life of the leader's lease.
+    pub life_s: f64,
+    /// For how long after its last renewal a leader goes on answering reports.
+    pub hold_over_s: f64,
+    /// For how long a leader that gave up stays out of elections.
+    pub quiet_s: f64,
+}
+
+impl Times {
+    /// Times for a workers' lease.
+    pub fn new(lease_s: f64) -> Times {
+        Times {
+            life_s: (lease_s / 5.0).max(0.1),
+            hold_over_s: lease_s * 3.0,
+            quiet_s: lease_s,
+        }
+    }
+}
+
+/// Share of the lease's life after which it is renewed.
+const RENEW: f64 = 1.0 / 4.0;
+/// Share of the lease's life after which an unanswered election call is given up.
+const PATIENCE: f64 = 1.0 / 3.0;
+
+#[derive(Debug, Clone, PartialEq)]
+enum Phase {
+    Following,
+    Granting,
+    Taking { hold: u64, since: f64 },
+    Leading { epoch: u64, hold: u64 },
+}
+
+/// What the election has just decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Nothing new.
+    Same,
+    /// This node leads, with this Epoch.
+    Won(u64),
+    /// This node no longer leads.
+    Lost,
+}
+
+/// This node's part in the election.
+#[derive(Debug)]
+pub struct Election {
+    me: LeaderRecord,
+    times: Times,
+    phase: Phase,
+    /// The leader as the watch shows it, with the key's version.
+    known: Option<(LeaderRecord, u64)>,
+    /// Highest Epoch known from anywhere.
+    highest: u64,
+    renewed_at: f64,
+    renew_next: f64,
+    renewing: bool,
+    campaign_at: f64,
+}
+
+impl Election {
+    /// `life` tells this process from earlier ones of the same node.
+    pub fn new(label: &str, life: u64, times: Times) -> Election {
+        Election {
+            me: LeaderRecord {
+                label: label.to_owned(),
+                life,
+            },
+            times,
+            phase: Phase::Following,
+            known: None,
+            highest: 0,
+            renewed_at: 0.0,
+            renew_next: 0.0,
+            renewing: false,
+            campaign_at: 0.0,
+        }
+    }
+
+    /// The Epoch with which this node leads, confirmed or held over.
+    pub fn epoch(&self) -> Option<u64> {
+        match self.phase {
+            Phase::Leading { epoch, .. } => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// Whether this node leads and certainly holds the lease.
+    pub fn confirmed(&self, now: f64) -> bool {
+        self.epoch().is_some() && now < self.renewed_at + self.times.life_s * (1.0 - 2.0 * DRIFT)
+    }
+
+    /// Highest Epoch known from anywhere.
+    pub fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// The leader's label, as far as known.
+    pub fn leader(&self) -> Option<&str> {
+        match &self.phase {
+            Phase::Leading { .. } => Some(&self.me.label),
+            _ => self.known.as_ref().map(|(record, _)| record.label.as_str()),
+        }
+    }
+
+    /// Takes what the watch says of `leader`.
+    pub fn observe(
+        &mut self,
+        known: Option<(LeaderRecord, u64)>,
+        jitter: f64,
+        now: f64,
+    ) -> Outcome {
+        if known.is_none() && self.known.is_some() {
+            self.campaign_at = self
+                .campaign_at
+                .max(now + jitter * self.times.life_s * PATIENCE / 2.0);
+        }
+        self.known = known;
+        if let Some((_, stamp)) = &self.known {
+            self.highest = self.highest.max(*stamp);
+        }
+        match (&self.phase, &self.known) {
+            // The watch may be late: only a newer leader, or none after us, deposes.
+            (Phase::Leading { epoch, .. }, Some((_, stamp))) if stamp > epoch => self.step_down(),
+            _ => Outcome::Same,
+        }
+    }
+
+    /// The key was deleted, which follows our own put: the lease is over.
+    pub fn removed(&mut self, jitter: f64, now: f64) -> Outcome {
+        let was_ours = matches!(
+            (&self.phase, &self.known),
+            (Phase::Leading { epoch, .. }, Some((_, stamp))) if epoch == stamp
+        );
+        self.observe(None, jitter, now);
+        if was_ours {
+            self.step_down()
+        } else {
+            Outcome::Same
+        }
+    }
+
+    /// Takes an Epoch seen in a report or at a peer.
+    pub fn notice(&mut self, epoch: u64) -> Outcome {
+        self.highest = self.highest.max(epoch);
+        match self.phase {
+            Phase::Leading { epoch: mine, .. } if epoch > mine => self.step_down(),
+            _ => Outcome::Same,
+        }
+    }
+
+    /// A transaction found that the key is not ours any more.
+    pub fn deposed(&mut self) -> Outcome {
+        match self.phase {
+            Phase::Leading { .. } => self.step_down(),
+            _ => Outcome::Same,
+        }
+    }
+
+    fn step_down(&mut self) -> Outcome {
+        self.phase = Phase::Following;
+        self.renewing = false;
+        Outcome::Lost
+    }
+
+    /// Gives up the lease, so that a node that workers can reach may lead.
+    pub fn give_up(&mut self, out: &mut Outbox, now: f64) -> Outcome {
+        let Phase::Leading { hold, .. } = self.phase else {
+            return Outcome::Same;
+        };
+        out.store(StoreAsk::Drop, StoreCall::Drop(hold), self.patience(), now);
+        self.campaign_at = now + self.times.quiet_s;
+        self.step_down()
+    }
+
+    fn patience(&self) -> f64 {
+        self.times.life_s * PATIENCE
+    }
+
+    /// Renews, campaigns or lets go, as is due. `watching`: the watch knows the key.
+    pub fn drive(&mut self, watching: bool, out: &mut Outbox, now: f64) -> Outcome {
+        match self.phase {
+            Phase::Leading { hold, .. } => {
+                if now > self.renewed_at + self.times.hold_over_s {
+                    return self.step_down();
+                }
+                if !self.renewing && now >= self.renew_next {
+                    self.renewing = true;
+                    out.store(
+                        StoreAsk::Renew,
+                        StoreCall::Renew(hold),
+                        self.patience(),
+                        now,
+                    );
+                }
+            }
+            Phase::Following if watching && now >= self.campaign_at => {
+                // One's own label, without leading: an earlier life of this node, or an answer
+                // that was lost. Nobody else acts by it, so it can be replaced at once.
+                let free = match &self.known {
+                    None => true,
+                    Some((record, _)) => record.label == self.me.label,
+                };
+                if free {
+                    self.phase = Phase::Granting;
+                    let life_ms = (self.times.life_s * 1000.0) as u64;
+                    out.store(
+                        StoreAsk::Grant,
+                        StoreCall::Grant(life_ms),
+                        self.patience(),
+                        now,
+                    );
+                }
+            }
+            _ => {}
+        }
+        Outcome::Same
+    }
+
+    /// Takes the answer to an election call that was made at `sent`.
+    pub fn reply(
+        &mut self,
+        ask: &StoreAsk,
+        reply: &StoreReply,
+        sent: f64,
+        out: &mut Outbox,
+        now: f64,
+    ) -> Outcome {
+        match (ask, &self.phase) {
+            (StoreAsk::Grant, Phase::Granting) => {
+                let StoreReply::Granted(hold) = *reply else {
+                    self.back_off(now);
+                    return Outcome::Same;
+                };
+                let stamp = self.known.as_ref().map_or(0, |(_, stamp)| *stamp);
+                let txn = Txn {
+                    when: vec![Condition::new(records::LEADER, stamp)],
+                    writes: vec![Write::Set {
+                        key: records::LEADER.to_owned(),
+                        value: cbor::to_value(&self.me),
+                        hold: Some(hold),
+                    }],
+                };
+                self.phase = Phase::Taking { hold, since: sent };
+                out.store(StoreAsk::Take, StoreCall::Txn(txn), self.patience(), now);
+                Outcome::Same
+            }
+            (StoreAsk::Take, Phase::Taking { hold, since }) => {
+                let (hold, since) = (*hold, *since);
+                if let StoreReply::Committed(epoch) = *reply {
+                    self.phase = Phase::Leading { epoch, hold };
+                    self.known = Some((self.me.clone(), epoch));
+                    self.highest = self.highest.max(epoch);
+                    self.renewed_at = since;
+                    self.renew_next = since + self.times.life_s * RENEW;
+                    self.renewing = false;
+                    return Outcome::Won(epoch);
+                }
+                // An unanswered take may still be applied; without its lease it cannot.
+                out.store(StoreAsk::Drop, StoreCall::Drop(hold), self.patience(), now);
+                self.back_off(now);
+                Outcome::Same
+            }
+            (StoreAsk::Renew, Phase::Leading { .. }) => {
+                self.renewing = false;
+                match reply {
+                    StoreReply::Ok => {
+                        self.renewed_at = sent;
+                        self.renew_next = sent + self.times.life_s * RENEW;
+                        Outcome::Same
+                    }
+                    StoreReply::Gone => {
+                        self.known = None;
+                        self.step_down()
+                    }
+                    _ => {
+                        self.renew_next = now + self.times.life_s * RENEW / 4.0;
+                        Outcome::Same
+                    }
+                }
+            }
+            _ => Outcome::Same,
+        }
+    }
+
+    fn back_off(&mut self, now: f64) {
+        self.phase = Phase::Following;
+        self.campaign_at = now + self.times.life_s * PATIENCE / 2.0;
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/fleet.rs
@@ -0,0 +1,798 @@
+//! The fleet: what is rented, what is given back, and the cloud's list.
+
+use super::Leader;
+use crate::bookkeeping::budget::Bucket;
+use crate::bookkeeping::hosts::{Host, Room};
+use crate::bookkeeping::ledger::Change;
+use crate::bookkeeping::records::{self, RentalRecord};
+use crate::coordination::autoscaler::{self, Load, Meter};
+use crate::coordination::outbox::{CloudAsk, Outbox};
+use crate::coordination::scheduler::{self, MAX_ERRORS};
+use crate::policy::PoolView;
+use crate::protocol::cloud::{
+    CloudCall, CloudReply, Flavor, MAX_DELETE, MAX_RENT, Machine, MachineStatus, Rental,
+};
+use crate::protocol::job::JobSpec;
+use crate::protocol::state::Write;
+use crate::settings::Settings;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A pool of machines: type, zone, and whether spot.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolKey {
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machines.
+    pub spot: bool,
+}
+
+impl std::fmt::Display for PoolKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let kind = if self.spot { "spot" } else { "ordinary" };
+        write!(f, "{}/{}/{kind}", self.flavor, self.zone)
+    }
+}
+
+/// How far a rental has come.
+#[derive(Debug, Clone, PartialEq)]
+enum Stage {
+    /// Its record is being written.
+    Writing,
+    /// To be sent, or sent again, from this time on.
+    Ready(f64),
+    /// On its way.
+    Calling,
+    /// These machines were rented; they are not all seen yet.
+    Rented(Vec<String>),
+    /// Its record is being removed.
+    Settling,
+}
+
+#[derive(Debug, Clone)]
+struct Renting {
+    record: RentalRecord,
+    stage: Stage,
+}
+
+impl Renting {
+    fn pool(&self) -> PoolKey {
+        PoolKey {
+            flavor: self.record.flavor.clone(),
+            zone: self.record.zone.clone(),
+            spot: self.record.spot,
+        }
+    }
+    /// Machines that may come of it and are not in the table yet.
+    fn expected(&self) -> u32 {
+        match self.stage {
+            Stage::Rented(_) | Stage::Settling => 0,
+            _ => self.record.count,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    blocked_until: f64,
+    block_s: f64,
+    starts: Meter,
+    finishes: Meter,
+    task_s: Option<f64>,
+    share: Option<f64>,
+    decided: Option<autoscaler::Decision>,
+}
+
+/// Weight of the latest value in running averages.
+const LATEST: f64 = 0.1;
+
+fn average(known: Option<f64>, value: f64) -> Option<f64> {
+    Some(known.map_or(value, |known| known + (value - known) * LATEST))
+}
+
+/// State of renting and giving back.
+#[derive(Debug)]
+pub struct Fleet {
+    epoch: u64,
+    since: f64,
+    bids: u64,
+    rentals: BTreeMap<String, Renting>,
+    pools: BTreeMap<PoolKey, Pool>,
+    /// Machines whose deletion was confirmed, and when.
+    gone: HashMap<String, f64>,
+    calls: Bucket,
+    listing: Vec<Machine>,
+    list_busy: bool,
+    list_at: f64,
+    listed: Option<f64>,
+    rent_busy: bool,
+    delete_busy: bool,
+    delete_at: f64,
+    scale_at: f64,
+    list_lag_s: f64,
+    report_s: f64,
+}
+
+/// Share of the cloud's limit that the leader uses; the rest is for the catalogue and for a leader
+/// that has just been deposed.
+const CLOUD_SHARE: f64 = 0.5;
+/// Usual boot times after which a machine that is not up is given back.
+const BOOT_PATIENCE: f64 = 2.5;
+/// Longest time for which a refused pool is left alone, in boot times.
+const MAX_BLOCK: f64 = 4.0;
+/// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
+const MAX_FITTED: u32 = 4000;
+
+impl Fleet {
+    pub(super) fn new(settings: &Settings, epoch: u64, now: f64) -> Fleet {
+        let cloud = &settings.deployment.cloud;
+        Fleet {
+            epoch,
+            since: now,
+            bids: 0,
+            rentals: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            gone: HashMap::new(),
+            calls: Bucket::new(cloud.rps * CLOUD_SHARE, (cloud.rps * CLOUD_SHARE).max(1.0)),
+            listing: Vec::new(),
+            list_busy: false,
+            list_at: 0.0,
+            listed: None,
+            rent_busy: false,
+            delete_busy: false,
+            delete_at: 0.0,
+            scale_at: 0.0,
+            list_lag_s: cloud.list_lag_s,
+            report_s: settings.deployment.workers.report_s,
+        }
+    }
+
+    /// Whether the machine's deletion was confirmed.
+    pub(super) fn is_gone(&self, name: &str) -> bool {
+        self.gone.contains_key(name)
+    }
+
+    /// Takes over a rental that an earlier leader wrote down.
+    pub(super) fn inherit_rental(&mut self, bid: &str, record: RentalRecord) {
+        let stage = Stage::Ready(0.0);
+        self.rentals
+            .insert(bid.to_owned(), Renting { record, stage });
+    }
+
+    /// A rental's record was written or removed.
+    pub(super) fn written(&mut self, write: &Write) {
+        match write {
+            Write::Set { key, .. } => {
+                if let Some(bid) = key.strip_prefix(records::RENTAL)
+                    && let Some(rental) = self.rentals.get_mut(bid)
+                {
+                    rental.stage = Stage::Ready(0.0);
+                }
+            }
+            Write::Remove { key } => {
+                if let Some(bid) = key.strip_prefix(records::RENTAL) {
+                    self.rentals.remove(bid);
+                }
+            }
+        }
+    }
+
+    fn pool_of(&mut self, host: &Host) -> &mut Pool {
+        self.pools.entry(key_of(host)).or_default()
+    }
+
+    pub(super) fn note_start(&mut self, host: &Host, share: Option<f64>, now: f64) {
+        let pool = self.pool_of(host);
+        if let Some(share) = share {
+            pool.starts.add(1.0, now);
+            pool.share = average(pool.share, share.max(1e-3));
+        }
+    }
+
+    pub(super) fn note_finish(&mut self, host: &Host, ran_s: f64, now: f64) {
+        let pool = self.pool_of(host);
+        pool.finishes.add(1.0, now);
+        pool.task_s = average(pool.task_s, ran_s);
+    }
+
+    fn block(&mut self, key: &PoolKey, ready_s: f64, now: f64) {
+        let pool = self.pools.entry(key.clone()).or_default();
+        pool.block_s = (pool.block_s * 2.0).clamp(ready_s / 2.0, ready_s * MAX_BLOCK);
+        pool.blocked_until = now + pool.block_s;
+    }
+}
+
+fn key_of(host: &Host) -> PoolKey {
+    PoolKey {
+        flavor: host.flavor.clone(),
+        zone: host.zone.clone(),
+        spot: host.spot,
+    }
+}
+
+/// A machine that is on its way or would be rented, with the room that is left on it.
+struct Bin {
+    pool: usize,
+    free: Room,
+    used: bool,
+}
+
+struct Offer<'a> {
+    key: PoolKey,
+    flavor: &'a Flavor,
+    price: f64,
+    blocked: bool,
+}
+
+#[derive(Default, Clone)]
+struct Demand {
+    pending: u32,
+    oldest_s: f64,
+    expect_s: f64,
+    share: f64,
+}
+
+impl Leader {
+    /// Lists, scales, rents and deletes, as is due.
+    pub(super) fn drive_fleet(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
+        if !confirmed {
+            return;
+        }
+        self.drive_list(out, now);
+        self.drive_deletes(out, now);
+        let fleet = &self.fleet;
+        // Nothing is rented before the list is known and a round of reports has come.
+        let informed = fleet.listed.is_some() && now - fleet.since > 1.5 * fleet.report_s;
+        if informed && now >= fleet.scale_at {
+            self.fleet.scale_at = now + 2.0 * self.fleet.report_s;
+            self.retire(now);
+            self.scale(now);
+        }
+        self.drive_rentals(out, now);
+    }
+
+    fn drive_list(&mut self, out: &mut Outbox, now: f64) {
+        let fleet = &mut self.fleet;
+        if fleet.list_busy || now < fleet.list_at || !fleet.calls.take(1.0, now) {
+            return;
+        }
+        fleet.list_busy = true;
+        let from = fleet.listing.last().map(|machine| machine.name.clone());
+        let within_s = 2.0 * fleet.report_s;
+        out.cloud(CloudAsk::List(fleet.epoch), CloudCall::List(from), within_s);
+    }
+
+    fn drive_deletes(&mut self, out: &mut Outbox, now: f64) {
+        if self.fleet.delete_busy || now < self.fleet.delete_at {
+            return;
+        }
+        let names: Vec<String> = self
+            .hosts
+            .iter()
+            .filter(|host| host.marked && !self.fleet.is_gone(&host.name))
+            .map(|host| host.name.clone())
+            .take(MAX_DELETE)
+            .collect();
+        if names.is_empty() || !self.fleet.calls.take(1.0, now) {
+            return;
+        }
+        self.fleet.delete_busy = true;
+        let ask = CloudAsk::Delete(self.epoch, names.clone());
+        out.cloud(ask, CloudCall::Delete(names), 2.0 * self.fleet.report_s);
+    }
+
+    fn drive_rentals(&mut self, out: &mut Outbox, now: f64) {
+        let fleet = &mut self.fleet;
+        if fleet.rent_busy {
+            return;
+        }
+        let ready = fleet
+            .rentals
+            .iter_mut()
+            .find(|(_, rental)| matches!(rental.stage, Stage::Ready(at) if now >= at));
+        let Some((bid, rental)) = ready else { return };
+        if !fleet.calls.take(1.0, now) {
+            return;
+        }
+        rental.stage = Stage::Calling;
+        fleet.rent_busy = true;
+        let call = CloudCall::Rent(Rental {
+            bid: bid.clone(),
+            flavor: rental.record.flavor.clone(),
+            zone: rental.record.zone.clone(),
+            spot: rental.record.spot,
+            count: rental.record.count,
+        });
+        let ask = CloudAsk::Rent(self.epoch, bid.clone());
+        out.cloud(ask, call, 2.0 * fleet.report_s);
+    }
+
+    /// Takes a page of the cloud's list.
+    pub fn listed(&mut self, reply: CloudReply, now: f64) {
+        self.fleet.list_busy = false;
+        let CloudReply::Page(machines, more) = reply else {
+            self.fleet.listing.clear();
+            self.fleet.list_at = now + self.fleet.report_s;
+            return;
+        };
+        let more = more && !machines.is_empty();
+        self.fleet.listing.extend(machines);
+        if more {
+            return;
+        }
+        let machines = std::mem::take(&mut self.fleet.listing);
+        self.fleet.list_at = now + self.fleet.list_lag_s;
+        self.fleet.listed = Some(now);
+        for machine in machines {
+            self.take_listed(&machine, now);
+        }
+        let forget_s = 60.0 * self.fleet.list_lag_s.max(self.fleet.report_s);
+        self.fleet.gone.retain(|_, at| now - *at < forget_s);
+        self.settle_rentals();
+    }
+
+    fn take_listed(&mut self, machine: &Machine, now: f64) {
+        if self.fleet.is_gone(&machine.name) {
+            return;
+        }
+        let lease_from = self.since + self.hold_over_s;
+        let host = self.hosts.entry(&machine.name, || {
+            let mut host = Host::new(
+                &machine.name,
+                &machine.flavor,
+                &machine.zone,
+                machine.spot,
+                now - machine.age_s,
+            );
+            host.lease_from = lease_from;
+            host
+        });
+        if host.endpoint.is_empty() {
+            host.endpoint.clone_from(&machine.endpoint);
+        }
+        host.listed = Some(now);
+        match machine.status {
+            MachineStatus::Running if !host.listed_up => {
+                host.listed_up = true;
+                self.push_due.insert(machine.name.clone());
+            }
+            MachineStatus::Failed if !host.returning => {
+                tracing::info!(host = machine.name, "machine has failed");
+                self.give_back(&machine.name);
+            }
+            _ => {}
+        }
+    }
+
+    /// Removes the records of rentals whose machines have all been seen.
+    fn settle_rentals(&mut self) {
+        for (bid, rental) in &mut self.fleet.rentals {
+            let Stage::Rented(names) = &rental.stage else {
+                continue;
+            };
+            let seen = names.iter().all(|name| {
+                self.hosts
+                    .get(name)
+                    .is_none_or(|host| host.listed.is_some() || host.heard.is_some())
+            });
+            if seen {
+                rental.stage = Stage::Settling;
+                self.ledger.push(Change::Put {
+                    write: Write::remove(records::rental(bid)),
+                });
+            }
+        }
+    }
+
+    /// Takes what came of a rental.
+    pub fn rented(&mut self, bid: &str, reply: CloudReply, now: f64) {
+        self.fleet.rent_busy = false;
+        let Some(rental) = self.fleet.rentals.get_mut(bid) else {
+            return;
+        };
+        let key = rental.pool();
+        let wanted = rental.record.count;
+        let ready_s = self
+            .flavors
+            .iter()
+            .find(|f| f.name == key.flavor)
+            .map_or(self.fleet.report_s, |f| f.ready_s);
+        match reply {
+            CloudReply::Rented(names) => {
+                tracing::info!(bid, pool = %key, wanted, got = names.len(), "rented");
+                if names.len() < wanted as usize {
+                    self.fleet.block(&key, ready_s, now);
+                } else if let Some(pool) = self.fleet.pools.get_mut(&key) {
+                    pool.block_s = 0.0;
+                }
+                for name in &names {
+                    if !self.fleet.is_gone(name) {
+                        self.hosts.entry(name, || {
+                            Host::new(name, &key.flavor, &key.zone, key.spot, now)
+                        });
+                    }
+                }
+                if let Some(rental) = self.fleet.rentals.get_mut(bid) {
+                    rental.stage = Stage::Rented(names);
+                }
+                self.settle_rentals();
+            }
+            CloudReply::NoCapacity | CloudReply::Bad => {
+                tracing::info!(bid, pool = %key, wanted, "rental refused");
+                rental.stage = Stage::Settling;
+                self.fleet.block(&key, ready_s, now);
+                self.ledger.push(Change::Put {
+                    write: Write::remove(records::rental(bid)),
+                });
+            }
+            // It may have been carried out: the same name is asked again until there is an answer.
+            _ => rental.stage = Stage::Ready(now + self.fleet.report_s),
+        }
+    }
+
+    /// Takes what came of a deletion.
+    pub fn deleted(&mut self, names: &[String], reply: &CloudReply, now: f64) {
+        self.fleet.delete_busy = false;
+        if !matches!(reply, CloudReply::Deleted) {
+            self.fleet.delete_at = now + self.fleet.report_s;
+            return;
+        }
+        for name in names {
+            self.fleet.gone.insert(name.clone(), now);
+            let Some(host) = self.hosts.get(name) else {
+                continue;
+            };
+            let bound: Vec<_> = host
+                .bindings
+                .iter()
+                .map(|(task, b)| (task.clone(), b.attempt))
+                .collect();
+            for (task, attempt) in bound {
+                self.drop_binding(name, &task, attempt, now);
+            }
+            tracing::info!(host = name, "machine deleted");
+            self.ledger.push(Change::Forget { host: name.clone() });
+        }
+    }
+
+    /// Marks a host as returning; it is deleted once the mark is written.
+    pub(super) fn give_back(&mut self, name: &str) {
+        if let Some(host) = self.hosts.get_mut(name)
+            && !host.returning
+        {
+            host.returning = true;
+            self.ledger.push(Change::Mark {
+                host: name.to_owned(),
+            });
+        }
+    }
+
+    /// Gives back machines that are of no use: silent, faulty, taken, or never up.
+    fn retire(&mut self, now: f64) {
+        let lease_s = self.settings.deployment.workers.lease_s;
+        let silent_s = lease_s / 2.0;
+        let silent = |host: &Host| host.heard.is_some_and(|at| now - at > silent_s);
+        let up = self.hosts.iter().filter(|h| h.heard.is_some()).count();
+        let unheard = self.hosts.iter().filter(|h| silent(h)).count();
+        // When most are silent it is this node that is cut off.
+        let cut_off = 2 * unheard > up.max(2);
+        let mut back = Vec::new();
+        for host in self.hosts.iter().filter(|host| !host.returning) {
+            let ready_s = self
+                .flavors
+                .iter()
+                .find(|f| f.name == host.flavor)
+                .map_or(self.fleet.report_s, |f| f.ready_s);
+            let lost_s = 4.0 * self.fleet.list_lag_s + ready_s;
+            let taken = host
+                .taken_at
+                .is_some_and(|at| now > at + self.fleet.report_s || host.bindings.is_empty());
+            let never_up = host.heard.is_none()
+                && host.bindings.is_empty()
+                && now - host.since > BOOT_PATIENCE * ready_s
+                && (!host.listed_up || now - self.since > lease_s);
+            let reason = if taken {
+                "taken by the cloud"
+            } else if never_up {
+                "never came up"
+            } else if silent(host) && !cut_off {
+                "silent"
+            } else if host.errors >= MAX_ERRORS {
+                "fails tasks"
+            } else if host.heard.is_none()
+                && host.listed.is_some_and(|at| now - at > lost_s)
+                && host.bindings.is_empty()
+            {
+                "no longer listed"
+            } else {
+                continue;
+            };
+            back.push((host.name.clone(), reason));
+        }
+        for (name, reason) in back {
+            tracing::info!(host = name, reason, "giving back a machine");
+            self.give_back(&name);
+        }
+    }
+
+    /// One round of the autoscaler.
+    fn scale(&mut self, now: f64) {
+        let flavors = self.flavors.clone();
+        let offers: Vec<Offer> = flavors
+            .iter()
+            .flat_map(|flavor| {
+                flavor
+                    .zones
+                    .iter()
+                    .flat_map(move |zone| [false, true].map(|spot| (flavor, zone.clone(), spot)))
+            })
+            .filter(|(flavor, _, spot)| !spot || flavor.market_price.is_some())
+            .map(|(flavor, zone, spot)| {
+                let key = PoolKey {
+                    flavor: flavor.name.clone(),
+                    zone,
+                    spot,
+                };
+                let pool = self.fleet.pools.get(&key);
+                Offer {
+                    blocked: pool.is_some_and(|pool| now < pool.blocked_until),
+                    price: if spot {
+                        flavor.market_price.unwrap_or(flavor.hourly)
+                    } else {
+                        flavor.hourly
+                    },
+                    key,
+                    flavor,
+                }
+            })
+            .collect();
+        let mut bins = self.coming(&offers);
+        let mut demand = vec![Demand::default(); offers.len()];
+        self.fit_demand(&offers, &mut bins, &mut demand);
+        let mut back = BTreeSet::new();
+        for (i, offer) in offers.iter().enumerate() {
+            let fill = bins.iter().filter(|b| b.pool == i && b.used).count() as u32;
+            let surplus = self.scale_pool(offer, &demand[i], fill, now);
+            back.extend(surplus);
+        }
+        for name in back {
+            self.give_back(&name);
+        }
+    }
+
+    /// Machines that are booting or being rented, empty.
+    fn coming(&self, offers: &[Offer]) -> Vec<Bin> {
+        let mut bins = Vec::new();
+        for (i, offer) in offers.iter().enumerate() {
+            let booting = self
+                .hosts
+                .iter()
+                .filter(|h| !h.returning && h.heard.is_none() && key_of(h) == offer.key)
+                .count() as u32;
+            let expected: u32 = self
+                .fleet
+                .rentals
+                .values()
+                .filter(|rental| rental.pool() == offer.key)
+                .map(Renting::expected)
+                .sum();
+            for _ in 0..booting + expected {
+                bins.push(Bin {
+                    pool: i,
+                    free: Room::of_flavor(offer.flavor),
+                    used: false,
+                });
+            }
+        }
+        bins
+    }
+
+    /// Fits the waiting tasks onto machines that are coming, then onto machines yet to be rented.
+    fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand]) {
+        let mut left = MAX_FITTED;
+        for unplaced in &self.unplaced {
+            let Some(job) = self.jobs.get(&unplaced.job) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let need = scheduler::need(spec);
+            let mut zones = job.zones.clone();
+            for _ in 0..unplaced.count.min(left) {
+                left -= 1;
+                let Some(bin) = fit(offers, bins, spec, &need, &zones) else {
+                    break;
+                };
+                let bin = &mut bins[bin];
+                bin.free = bin.free.minus(&need);
+                bin.used = true;
+                let offer = &offers[bin.pool];
+                *zones.entry(offer.key.zone.clone()).or_default() += 1;
+                let pool = &mut demand[bin.pool];
+                pool.pending += 1;
+                pool.oldest_s = pool.oldest_s.max(unplaced.age_s);
+                pool.expect_s += spec.expect_s;
+                pool.share += need.share_of(&Room::of_flavor(offer.flavor));
+            }
+        }
+    }
+
+    /// Sets one pool's target, rents what is missing, and names what may go.
+    fn scale_pool(&mut self, offer: &Offer, demand: &Demand, fill: u32, now: f64) -> Vec<String> {
+        let key = &offer.key;
+        let whole = Room::of_flavor(offer.flavor);
+        let mut machines = 0;
+        let mut busy = 0;
+        let mut standing = Room::default();
+        for host in self.hosts.iter() {
+            if host.returning || host.taken_at.is_some() || key_of(host) != *key {
+                continue;
+            }
+            machines += 1;
+            busy += u32::from(!host.bindings.is_empty());
+            for (task, binding) in &host.bindings {
+                if self.jobs.get(&task.job).is_some_and(|job| job.standing()) {
+                    standing = standing.plus(&binding.need);
+                }
+            }
+        }
+        let renting: u32 = self
+            .fleet
+            .rentals
+            .values()
+            .filter(|rental| rental.pool() == *key)
+            .map(Renting::expected)
+            .sum();
+        let machines = machines + renting;
+        let figures = self.policy.figures(&PoolView {
+            spot: key.spot,
+            ready_s: offer.flavor.ready_s,
+            busy,
+        });
+        let since = self.since;
+        let pool = self.fleet.pools.entry(key.clone()).or_default();
+        pool.starts.trim(figures.window_s, now);
+        pool.finishes.trim(figures.window_s, now);
+        let pending = f64::from(demand.pending.max(1));
+        let per_machine = match pool.share {
+            Some(share) => 1.0 / share,
+            None if demand.pending > 0 && demand.share > 0.0 => pending / demand.share,
+            None => 1.0,
+        };
+        let task_s = pool
+            .task_s
+            .unwrap_or(demand.expect_s / pending)
+            .max(self.fleet.report_s / 5.0);
+        let events = pool.starts.rate(figures.window_s, since, now)
+            + pool.finishes.rate(figures.window_s, since, now);
+        let rate = if events > 0.0 && busy > 0 {
+            events / f64::from(busy)
+        } else {
+            per_machine / task_s
+        };
+        let load = Load {
+            pending: demand.pending,
+            oldest_s: demand.oldest_s,
+            rate,
+            forecast: pool.starts.forecast(figures.window_s, since, now),
+            task_s,
+            per_machine,
+            standing: standing.share_of(&whole),
+            busy,
+            fill,
+        };
+        let decision = autoscaler::decide(&load, &figures);
+        if pool.decided != Some(decision) {
+            pool.decided = Some(decision);
+            tracing::info!(
+                pool = %key,
+                little = decision.little,
+                trend = decision.trend,
+                drain = decision.drain,
+                target = decision.target,
+                reason = ?decision.reason,
+                machines,
+                busy,
+                pending = demand.pending,
+                "scaling"
+            );
+        }
+        let unfinished = self
+            .fleet
+            .rentals
+            .values()
+            .any(|rental| rental.pool() == *key && rental.expected() > 0);
+        if decision.target > machines && !offer.blocked && !unfinished {
+            self.rent(key, decision.target - machines);
+        }
+        let surplus = machines.saturating_sub(decision.target) as usize;
+        let mut idle: Vec<&Host> = self
+            .hosts
+            .iter()
+            .filter(|host| {
+                key_of(host) == *key
+                    && !host.returning
+                    && host.heard.is_some()
+                    && host.bindings.is_empty()
+                    && now - host.idle_since > figures.cooldown_s
+            })
+            .collect();
+        idle.sort_by(|a, b| a.idle_since.total_cmp(&b.idle_since));
+        let back: Vec<String> = idle
+            .into_iter()
+            .take(surplus)
+            .map(|host| host.name.clone())
+            .collect();
+        if !back.is_empty() {
+            tracing::info!(pool = %key, count = back.len(), target = decision.target, "giving back idle machines");
+        }
+        back
+    }
+
+    fn rent(&mut self, key: &PoolKey, count: u32) {
+        self.fleet.bids += 1;
+        let bid = format!("r-{}-{}", self.epoch, self.fleet.bids);
+        let record = RentalRecord {
+            flavor: key.flavor.clone(),
+            zone: key.zone.clone(),
+            spot: key.spot,
+            count: count.min(MAX_RENT),
+        };
+        self.ledger.push(Change::Put {
+            write: Write::set(records::rental(&bid), &record),
+        });
+        let stage = Stage::Writing;
+        self.fleet.rentals.insert(bid, Renting { record, stage });
+    }
+}
+
+/// A bin for one more task: one that is there, or a new one from the cheapest pool that is not
+/// known to be sold out.
+fn fit(
+    offers: &[Offer],
+    bins: &mut Vec<Bin>,
+    spec: &JobSpec,
+    need: &Room,
+    zones: &HashMap<String, u32>,
+) -> Option<usize> {
+    let suits = |offer: &Offer| {
+        let zone = &offer.key.zone;
+        let other = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
+        spec.allows(&offer.key.flavor, zone, offer.key.spot)
+            && !other
+            && zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
+    };
+    let replicas = |offer: &Offer| {
+        if spec.spread {
+            zones.get(&offer.key.zone).copied().unwrap_or(0)
+        } else {
+            0
+        }
+    };
+    if let Some(i) = bins
+        .iter()
+        .position(|bin| bin.free.fits(need) && suits(&offers[bin.pool]))
+    {
+        return Some(i);
+    }
+    let (pool, offer) = offers
+        .iter()
+        .enumerate()
+        .filter(|(_, offer)| {
+            !offer.blocked && suits(offer) && Room::of_flavor(offer.flavor).fits(need)
+        })
+        .min_by(|(_, a), (_, b)| {
+            let cost = |offer: &Offer| {
+                offer.price / f64::from(Room::of_flavor(offer.flavor).count(need).max(1))
+            };
+            replicas(a)
+                .cmp(&replicas(b))
+                .then(cost(a).total_cmp(&cost(b)))
+        })?;
+    bins.push(Bin {
+        pool,
+        free: Room::of_flavor(offer.flavor),
+        used: false,
+    });
+    Some(bins.len() - 1)
+}
--- /dev/null
+++ b/src/coordination/leader/mod.rs
@@ -0,0 +1,400 @@
+//! What the leading node does: it rebuilds its tables from the state service, takes reports, binds
+//! tasks, and reconciles workers and fleet with what is wanted.
+
+mod fleet;
+mod load;
+mod reports;
+mod writes;
+
+use super::autoscaler::Meter;
+use super::outbox::Outbox;
+use super::scheduler::{self, Pass};
+use crate::bookkeeping::budget::Bucket;
+use crate::bookkeeping::hosts::{Binding, HaltReason, Host, Hosts, Room};
+use crate::bookkeeping::jobs::{Job, Jobs};
+use crate::bookkeeping::ledger::{Change, Ledger, TxnLimits};
+use crate::bookkeeping::quotas::Quotas;
+use crate::bookkeeping::records::OverRecord;
+use crate::policy::Policy;
+use crate::protocol::cloud::Flavor;
+use crate::protocol::job::JobSpec;
+use crate::protocol::peer::{Counts, MAX_COUNTS};
+use crate::protocol::worker::{Order, Report, StepStatus, TaskId};
+use crate::settings::{DRIFT, Settings};
+use fleet::Fleet;
+use load::Loading;
+use rand::rngs::SmallRng;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+pub use reports::ReportAnswer;
+
+/// Attempts within one Epoch.
+const TRIES_BITS: u32 = 24;
+/// Share of the state service's limits that the leader's own writes may use.
+pub const STATE_SHARE: f64 = 0.5;
+/// Reports kept while the tables are being loaded.
+const MAX_EARLY: usize = 4096;
+/// Binds are put off while more changes than this many transactions wait.
+const MAX_BACKLOG_TXNS: usize = 2;
+
+/// Something that the rest of the node must learn.
+#[derive(Debug, PartialEq)]
+pub enum Notice {
+    /// A job has ended.
+    Over(String, OverRecord),
+    /// Another leader's Epoch was seen.
+    Epoch(u64),
+    /// A transaction found the leader's key changed.
+    Deposed,
+}
+
+/// The leader's tables and pipelines, for one Epoch.
+pub struct Leader {
+    epoch: u64,
+    since: f64,
+    settings: Rc<Settings>,
+    policy: Rc<Policy>,
+    flavors: Rc<Vec<Flavor>>,
+    jobs: Jobs,
+    hosts: Hosts,
+    quotas: Quotas,
+    ledger: Ledger,
+    loading: Option<Loading>,
+    early: HashMap<String, Report>,
+    closed_early: HashSet<String>,
+    tries: u64,
+    requests: Bucket,
+    changes: Bucket,
+    write_retry_at: f64,
+    schedule_due: bool,
+    push_due: HashSet<String>,
+    pushing: HashSet<String>,
+    pushed_at: HashMap<String, (Vec<Order>, f64)>,
+    unplaced: Vec<scheduler::Unplaced>,
+    fleet: Fleet,
+    arrivals: BTreeMap<String, Meter>,
+    notices: Vec<Notice>,
+    hold_over_s: f64,
+    last_report: Option<f64>,
+    rng: SmallRng,
+}
+
+impl Leader {
+    /// A leader that knows nothing yet and starts to load its tables.
+    pub fn new(
+        epoch: u64,
+        settings: Rc<Settings>,
+        policy: Rc<Policy>,
+        flavors: Rc<Vec<Flavor>>,
+        hold_over_s: f64,
+        rng: SmallRng,
+        now: f64,
+    ) -> Leader {
+        let state = &settings.deployment.state;
+        let limits = TxnLimits {
+            ops: state.txn_ops,
+            value_bytes: (state.value_kb * 1024.0) as usize,
+        };
+        let share = |all: f64| Bucket::new(all * STATE_SHARE, all * STATE_SHARE);
+        Leader {
+            epoch,
+            since: now,
+            jobs: Jobs::default(),
+            hosts: Hosts::default(),
+            quotas: Quotas::new(&settings.deployment.teams),
+            ledger: Ledger::new(limits),
+            loading: Some(Loading::everything()),
+            early: HashMap::new(),
+            closed_early: HashSet::new(),
+            tries: 0,
+            requests: share(state.rps),
+            changes: share(state.write_rps),
+            write_retry_at: 0.0,
+            schedule_due: true,
+            push_due: HashSet::new(),
+            pushing: HashSet::new(),
+            pushed_at: HashMap::new(),
+            unplaced: Vec::new(),
+            fleet: Fleet::new(&settings, epoch, now),
+            arrivals: BTreeMap::new(),
+            notices: Vec::new(),
+            hold_over_s,
+            last_report: None,
+            rng,
+            settings,
+            policy,
+            flavors,
+        }
+    }
+
+    /// The Epoch.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// What the rest of the node must learn.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Takes a new catalogue.
+    pub fn set_flavors(&mut self, flavors: Rc<Vec<Flavor>>) {
+        self.flavors = flavors;
+        self.schedule_due = true;
+    }
+
+    /// A job was opened, as the watch or the desk shows it.
+    pub fn opened(&mut self, stamp: u64, spec: &JobSpec, now: f64, wall: f64) {
+        if self.jobs.get(&spec.id).is_some() {
+            return;
+        }
+        let since = now - (wall - spec.at).clamp(0.0, now.max(0.0) + 1e6);
+        self.jobs.insert(Job::new(spec.clone(), stamp, since));
+        if !self.loading() {
+            self.arrivals
+                .entry(spec.class.clone())
+                .or_default()
+                .add(f64::from(spec.tasks), now);
+        }
+        self.schedule_due = true;
+    }
+
+    /// A job was closed. Its tasks are stopped; their bindings last until they are gone.
+    pub fn closed(&mut self, id: &str) {
+        if self.loading.is_some() {
+            // What has been read so far may still show it as open.
+            self.closed_early.insert(id.to_owned());
+        }
+        if self.jobs.remove(id).is_none() {
+            return;
+        }
+        self.halt_orphans();
+    }
+
+    /// Orders a stop of all bound tasks whose job is over.
+    fn halt_orphans(&mut self) {
+        for host in self.hosts.iter_mut() {
+            for (task, binding) in &mut host.bindings {
+                let over = self.jobs.get(&task.job).is_none();
+                if over && binding.halt != Some((0.0, HaltReason::Over)) {
+                    binding.halt = Some((0.0, HaltReason::Over));
+                    self.push_due.insert(host.name.clone());
+                }
+            }
+        }
+        self.schedule_due = true;
+    }
+
+    /// Whether the tables are still being loaded.
+    pub fn loading(&self) -> bool {
+        self.loading
+            .as_ref()
+            .is_some_and(|loading| loading.is_first())
+    }
+
+    /// For how long no worker has been heard, although some should be up.
+    pub fn silent_for(&self, now: f64) -> f64 {
+        let up = self
+            .hosts
+            .iter()
+            .any(|host| !host.returning && (host.heard.is_some() || !host.bindings.is_empty()));
+        if self.loading() || !up {
+            return 0.0;
+        }
+        // After a takeover, workers need a moment to find the new leader.
+        let from = self.since + 2.0 * self.settings.deployment.workers.report_s;
+        now - self.last_report.unwrap_or(from).max(from)
+    }
+
+    /// When a session whose worker is silent has certainly ended: its lease has run out since the
+    /// last answer that may have renewed it, by the slower of two clocks.
+    fn session_over_at(&self, host: &Host) -> f64 {
+        let workers = &self.settings.deployment.workers;
+        host.lease_from + workers.lease_s * (1.0 + 4.0 * DRIFT) + workers.report_s / 5.0
+    }
+
+    /// Does all that is due. `confirmed`: this node certainly holds the lease.
+    pub fn drive(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
+        if self.loading.is_some() {
+            self.drive_loading(out, now);
+        }
+        if self.loading() {
+            return;
+        }
+        self.end_dead_sessions(now);
+        if confirmed {
+            self.schedule(now);
+        }
+        self.drive_writes(out, now);
+        self.drive_fleet(confirmed, out, now);
+        self.drive_pushes(confirmed, out, now);
+    }
+
+    /// Ends the bindings of workers that have been silent for longer than their lease can last.
+    fn end_dead_sessions(&mut self, now: f64) {
+        let dead: Vec<String> = self
+            .hosts
+            .iter()
+            .filter(|host| !host.bindings.is_empty() && now > self.session_over_at(host))
+            .map(|host| host.name.clone())
+            .collect();
+        for name in dead {
+            tracing::info!(
+                host = name,
+                "session over: silent for longer than its lease"
+            );
+            self.lose_bindings(&name, |_| true);
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.acked = false;
+                host.steps.clear();
+                host.in_flight.clear();
+            }
+        }
+    }
+
+    /// Ends bindings of tasks that are certainly no longer on the host.
+    fn lose_bindings(&mut self, name: &str, lost: impl Fn(&Binding) -> bool) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        for (task, binding) in &mut host.bindings {
+            if !binding.ending && lost(binding) {
+                binding.ending = true;
+                tracing::debug!(host = name, %task, attempt = binding.attempt, "binding lost");
+                self.ledger.push(Change::Unbind {
+                    host: name.to_owned(),
+                    task: task.clone(),
+                    attempt: binding.attempt,
+                    done: false,
+                });
+            }
+        }
+    }
+
+    /// Drops a binding from the tables, after its end is written down or its machine is gone.
+    fn drop_binding(&mut self, name: &str, task: &TaskId, attempt: u64, now: f64) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        if host.bindings.get(task).is_none_or(|b| b.attempt != attempt) {
+            return;
+        }
+        if let Some(binding) = host.bindings.remove(task) {
+            self.quotas
+                .give(&binding.team, binding.need.cpus, binding.need.gpus);
+            if host.bindings.is_empty() {
+                host.idle_since = now;
+            }
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.unbind(task.index, name, &host.zone, now);
+            }
+            self.schedule_due = true;
+            self.push_due.insert(name.to_owned());
+        }
+    }
+
+    /// One pass of the scheduler, unless too much waits to be written down.
+    fn schedule(&mut self, now: f64) {
+        let backlog = MAX_BACKLOG_TXNS * self.settings.deployment.state.txn_ops;
+        if !self.schedule_due || self.flavors.is_empty() || self.ledger.backlog() > backlog {
+            return;
+        }
+        self.schedule_due = false;
+        let pass = Pass::new(
+            &self.jobs,
+            &self.hosts,
+            &self.flavors,
+            &self.quotas,
+            self.ledger.limits().bindings_per_host(),
+            now,
+        );
+        let plan = pass.run(&mut self.rng);
+        for (task, host) in plan.binds {
+            self.bind(&task, &host, now);
+        }
+        for (name, task) in plan.halts {
+            let host = self.hosts.get_mut(&name);
+            if let Some(binding) = host.and_then(|host| host.bindings.get_mut(&task)) {
+                tracing::info!(host = name, %task, "preempted");
+                let flush_s = self.jobs.get(&task.job).map_or(0.0, |job| job.spec.flush_s);
+                binding.halt = Some((flush_s, HaltReason::Preempted));
+                self.push_due.insert(name);
+            }
+        }
+        self.unplaced = plan.unplaced;
+    }
+
+    fn bind(&mut self, task: &TaskId, name: &str, now: f64) {
+        let (Some(host), Some(job)) = (self.hosts.get_mut(name), self.jobs.get_mut(&task.job))
+        else {
+            return;
+        };
+        if host.bindings.contains_key(task) || host.steps.contains_key(task) {
+            return;
+        }
+        self.tries += 1;
+        let attempt = (self.epoch << TRIES_BITS) | self.tries;
+        let need = scheduler::need(&job.spec);
+        let binding = Binding {
+            attempt,
+            tenure: host.tenure,
+            need,
+            team: job.spec.team.clone(),
+            durable: false,
+            inherited: false,
+            ending: false,
+            halt: None,
+            since: now,
+            running: None,
+        };
+        tracing::debug!(host = name, %task, attempt, "bound");
+        host.bindings.insert(task.clone(), binding);
+        job.bind(task.index, name, &host.zone);
+        self.quotas.take(&job.spec.team, need.cpus, need.gpus);
+        let share = if job.standing() {
+            None
+        } else {
+            let flavor = self.flavors.iter().find(|f| f.name == host.flavor);
+            flavor.map(|f| need.share_of(&Room::of_flavor(f)))
+        };
+        self.fleet.note_start(host, share, now);
+        self.ledger.push(Change::Bind {
+            host: name.to_owned(),
+            task: task.clone(),
+            attempt,
+        });
+    }
+
+    /// Display counts of the open jobs.
+    pub fn counts(&self) -> Vec<Counts> {
+        self.jobs
+            .iter()
+            .take(MAX_COUNTS)
+            .map(|job| {
+                let running = job
+                    .bound
+                    .iter()
+                    .filter(|(index, hosts)| {
+                        hosts.iter().any(|name| {
+                            self.hosts.get(name).is_some_and(|host| {
+                                let task = TaskId {
+                                    job: job.spec.id.clone(),
+                                    index: **index,
+                                };
+                                host.steps.get(&task).is_some_and(|steps| {
+                                    steps.iter().any(|s| s.status == StepStatus::Running)
+                                })
+                            })
+                        })
+                    })
+                    .count();
+                Counts {
+                    job: job.spec.id.clone(),
+                    done: job.done.len(),
+                    running: running as u32,
+                }
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/coordination/outbox.rs
@@ -0,0 +1,211 @@
+//! What the coordinator wants done: actions for the event loop, and the meaning of their answers.
+
+use crate::protocol::cloud::CloudCall;
+use crate::protocol::job::Refusal;
+use crate::protocol::peer::Beat;
+use crate::protocol::state::StoreCall;
+use crate::protocol::worker::WorkerCall;
+use crate::protocol::{cbor, job};
+use std::collections::HashMap;
+
+/// Names an action that will be answered.
+pub type Tag = u64;
+
+/// Something for the event loop to do.
+#[derive(Debug)]
+pub enum Action {
+    /// Answer a request.
+    Answer {
+        /// Which request.
+        to: u64,
+        /// Status.
+        status: u16,
+        /// Body.
+        body: Vec<u8>,
+        /// `Retry-After`.
+        retry_after_s: Option<u32>,
+    },
+    /// Call the state service.
+    Store {
+        /// Names the call.
+        tag: Tag,
+        /// The call.
+        call: StoreCall,
+        /// Seconds after which to give up.
+        within_s: f64,
+    },
+    /// Call the cloud.
+    Cloud {
+        /// Names the call.
+        tag: Tag,
+        /// The call.
+        call: CloudCall,
+        /// Seconds after which to give up.
+        within_s: f64,
+    },
+    /// Call a worker.
+    Worker {
+        /// Names the call.
+        tag: Tag,
+        /// Its address.
+        endpoint: String,
+        /// The call.
+        call: WorkerCall,
+        /// Seconds after which to give up.
+        within_s: f64,
+    },
+    /// Tell all peers.
+    Beat(Beat),
+}
+
+/// Which part asked the state service, and for what.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreAsk {
+    /// The mirror of open jobs.
+    Mirror,
+    /// The watch on `leader`.
+    LeaderWatch,
+    /// A new lease for the election.
+    Grant,
+    /// The transaction that takes `leader`.
+    Take,
+    /// The renewal of the lease.
+    Renew,
+    /// The end of a lease.
+    Drop,
+    /// The desk's comparison for polls.
+    Check,
+    /// The desk's submits and cancels.
+    Write,
+    /// The desk's look at one job.
+    Look(String),
+    /// The leader's reading of all its records, for this Epoch.
+    Load(u64),
+    /// The leader's transaction, for this Epoch.
+    Ledger(u64),
+    /// The stored catalogue.
+    Catalogue,
+    /// A call whose answer does not matter.
+    Ignored,
+}
+
+/// Which part asked the cloud, and for what.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudAsk {
+    /// The catalogue.
+    Types,
+    /// The list, for this Epoch.
+    List(u64),
+    /// A rental, for this Epoch.
+    Rent(u64, String),
+    /// A deletion, for this Epoch.
+    Delete(u64, Vec<String>),
+}
+
+/// A direct call to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkerAsk {
+    /// The leader's Epoch.
+    pub epoch: u64,
+    /// The host.
+    pub host: String,
+    /// The orders sent.
+    pub orders: Vec<crate::protocol::worker::Order>,
+}
+
+/// Collects actions and remembers what their answers are for.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Actions in order.
+    pub actions: Vec<Action>,
+    next: Tag,
+    store: HashMap<Tag, (StoreAsk, f64)>,
+    cloud: HashMap<Tag, CloudAsk>,
+    worker: HashMap<Tag, WorkerAsk>,
+}
+
+impl Outbox {
+    fn tag(&mut self) -> Tag {
+        self.next += 1;
+        self.next
+    }
+
+    /// Calls the state service.
+    pub fn store(&mut self, ask: StoreAsk, call: StoreCall, within_s: f64, now: f64) {
+        let tag = self.tag();
+        self.store.insert(tag, (ask, now));
+        self.actions.push(Action::Store {
+            tag,
+            call,
+            within_s,
+        });
+    }
+
+    /// Calls the cloud.
+    pub fn cloud(&mut self, ask: CloudAsk, call: CloudCall, within_s: f64) {
+        let tag = self.tag();
+        self.cloud.insert(tag, ask);
+        self.actions.push(Action::Cloud {
+            tag,
+            call,
+            within_s,
+        });
+    }
+
+    /// Calls a worker.
+    pub fn worker(&mut self, ask: WorkerAsk, endpoint: String, call: WorkerCall, within_s: f64) {
+        let tag = self.tag();
+        self.worker.insert(tag, ask);
+        self.actions.push(Action::Worker {
+            tag,
+            endpoint,
+            call,
+            within_s,
+        });
+    }
+
+    /// What a store call was for and when it was made; once only.
+    pub fn store_ask(&mut self, tag: Tag) -> Option<(StoreAsk, f64)> {
+        self.store.remove(&tag)
+    }
+    /// What a cloud call was for; once only.
+    pub fn cloud_ask(&mut self, tag: Tag) -> Option<CloudAsk> {
+        self.cloud.remove(&tag)
+    }
+    /// What a worker call was for; once only.
+    pub fn worker_ask(&mut self, tag: Tag) -> Option<WorkerAsk> {
+        self.worker.remove(&tag)
+    }
+
+    /// Answers with a message.
+    pub fn answer<T: serde::Serialize>(&mut self, to: u64, status: u16, message: &T) {
+        self.actions.push(Action::Answer {
+            to,
+            status,
+            body: cbor::encode(message),
+            retry_after_s: None,
+        });
+    }
+
+    /// Answers with a job's state.
+    pub fn answer_state(&mut self, to: u64, status: u16, id: &str, state: job::JobStatus) {
+        let accepted = job::Accepted {
+            id: id.to_owned(),
+            status: state,
+        };
+        self.answer(to, status, &accepted);
+    }
+
+    /// Answers with a refusal; `retry_after_s` tells when to come back.
+    pub fn refuse(&mut self, to: u64, status: u16, why: &str, retry_after_s: Option<u32>) {
+        let refusal = Refusal {
+            error: why.to_owned(),
+        };
+        self.actions.push(Action::Answer {
+            to,
+            status,
+            body: cbor::encode(&refusal),
+            retry_after_s,
+        });
+    }
+}
--- /dev/null
+++ b/src/coordination/watch.rs
@@ -0,0 +1,117 @@
+//! Follows a prefix of the state service: one listing, then changes.
+
+use super::outbox::{Outbox, StoreAsk};
+use crate::protocol::state::{Event, Item, StoreCall, StoreReply};
+use ciborium::Value;
+
+/// What a watch has learned.
+#[derive(Debug)]
+pub enum News {
+    /// The whole content, at a revision.
+    Reset(Vec<Item>, u64),
+    /// A key was put.
+    Set(String, Value, u64),
+    /// A key was deleted.
+    Removed(String),
+}
+
+/// A watch on a prefix.
+#[derive(Debug)]
+pub struct Watch {
+    prefix: &'static str,
+    ask: StoreAsk,
+    wait_s: f64,
+    patience_s: f64,
+    revision: Option<u64>,
+    partial: Vec<Item>,
+    listing_at: Option<u64>,
+    in_flight: bool,
+    retry_at: f64,
+}
+
+/// Keys that a watch keeps of an unfinished listing; more are not held.
+const MAX_ITEMS: usize = 50_000;
+
+impl Watch {
+    /// A watch whose waits last `wait_s`; other calls may take `patience_s`.
+    pub fn new(prefix: &'static str, ask: StoreAsk, wait_s: f64, patience_s: f64) -> Watch {
+        Watch {
+            prefix,
+            ask,
+            wait_s,
+            patience_s,
+            revision: None,
+            partial: Vec::new(),
+            listing_at: None,
+            in_flight: false,
+            retry_at: 0.0,
+        }
+    }
+
+    /// Whether the content is known, though perhaps late.
+    pub fn listed(&self) -> bool {
+        self.revision.is_some()
+    }
+
+    /// Makes the next call if it is time.
+    pub fn drive(&mut self, out: &mut Outbox, now: f64) {
+        if self.in_flight || now < self.retry_at {
+            return;
+        }
+        self.in_flight = true;
+        let (call, within_s) = match self.revision {
+            Some(from) => (
+                StoreCall::Follow {
+                    under: self.prefix.to_owned(),
+                    from,
+                    wait_ms: (self.wait_s * 1000.0) as u64,
+                },
+                self.wait_s + self.patience_s,
+            ),
+            None => (
+                StoreCall::List {
+                    under: self.prefix.to_owned(),
+                    from: self.partial.last().map(|item| item.key.clone()),
+                },
+                self.patience_s,
+            ),
+        };
+        out.store(self.ask.clone(), call, within_s, now);
+    }
+
+    /// Takes an answer.
+    pub fn reply(&mut self, reply: StoreReply, now: f64) -> Vec<News> {
+        self.in_flight = false;
+        match reply {
+            StoreReply::Page(items, more, revision) => {
+                let at = *self.listing_at.get_or_insert(revision);
+                let progress = !items.is_empty();
+                self.partial.extend(items);
+                if more && progress && self.partial.len() < MAX_ITEMS {
+                    return Vec::new();
+                }
+                self.listing_at = None;
+                self.revision = Some(at);
+                vec![News::Reset(std::mem::take(&mut self.partial), at)]
+            }
+            StoreReply::Events(events, revision) => {
+                self.revision = Some(revision.max(self.revision.unwrap_or(0)));
+                events
+                    .into_iter()
+                    .map(|event| match event {
+                        Event::Set { key, value, stamp } => News::Set(key, value, stamp),
+                        Event::Remove { key, .. } => News::Removed(key),
+                    })
+                    .collect()
+            }
+            StoreReply::Gone => {
+                self.revision = None;
+                Vec::new()
+            }
+            _ => {
+                self.retry_at = now + self.patience_s / 4.0;
+                Vec::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! cedarladder: a cluster scheduler for rented machines.
+//!
+//! The layers, each using only those below it: [`coordination`], [`bookkeeping`], [`protocol`],
+//! [`transport`]. Beside them: [`settings`], [`policy`], [`cli`] and [`node`], which wires the
+//! event loop.
+
+pub mod bookkeeping;
+pub mod cli;
+pub mod coordination;
+pub mod node;
+pub mod policy;
+pub mod protocol;
+pub mod settings;
+pub mod transport;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The `cedarladder` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cedarladder::cli::main()
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,510 @@
+//! Wires sockets, timers and the controller into one event loop.
+
+use crate::coordination::controller::{Controller, Now};
+use crate::coordination::outbox::{Action, Tag};
+use crate::policy::Policy;
+use crate::protocol::cloud::{CloudCall, CloudReply};
+use crate::protocol::peer;
+use crate::protocol::state::{StoreCall, StoreReply};
+use crate::protocol::worker::{WorkerCall, WorkerReply};
+use crate::settings::Settings;
+use crate::transport::client::{Call, Client, Outcome};
+use crate::transport::frames::{Incoming, Outgoing};
+use crate::transport::server::{After, Server};
+use crate::transport::{http, socket};
+use calloop::generic::Generic;
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Why a node can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address can't be listened at.
+    #[error("cannot listen at {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// The event loop failed.
+    #[error("event loop: {0}")]
+    Loop(#[from] calloop::Error),
+    /// A source could not be added to the event loop.
+    #[error("event loop: {0}")]
+    Source(String),
+}
+
+/// Share of the sockets for users, workers and probes.
+const SERVER_SHARE: f64 = 0.6;
+/// Share of the sockets for calls to workers.
+const WORKER_SHARE: f64 = 0.25;
+/// Sockets for incoming peers, for each of them.
+const INCOMING_PER_PEER: usize = 3;
+/// Connections to the state service: two wait for changes, the others work.
+const STATE_CONNS: usize = 10;
+/// Connections to the cloud.
+const CLOUD_CONNS: usize = 4;
+/// Longest answer of the state service. A watch that brings more is read anew.
+const STATE_BODY: usize = 2 * 1024 * 1024;
+/// Longest answer of the cloud.
+const CLOUD_BODY: usize = 1024 * 1024;
+/// Longest answer of a worker.
+const WORKER_BODY: usize = 2 * http::MAX_REQUEST_BODY;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 256;
+/// Ticks in a report interval.
+const TICKS_PER_REPORT: f64 = 100.0;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Pool {
+    State,
+    Cloud,
+    Workers,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Source {
+    Server(u64),
+    Client(Pool, u64),
+    Peer(usize),
+    Incoming(u64),
+}
+
+enum Waiting {
+    Store(Tag, StoreCall),
+    Cloud(Tag, CloudCall),
+    Worker(Tag),
+}
+
+struct Node {
+    controller: Controller,
+    server: Server,
+    clients: HashMap<Pool, Client>,
+    waiting: HashMap<u64, Waiting>,
+    next_call: u64,
+    peers: Vec<Outgoing>,
+    incoming: HashMap<u64, Incoming>,
+    next_incoming: u64,
+    handle: LoopHandle<'static, Node>,
+    tokens: HashMap<Source, RegistrationToken>,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    started: Instant,
+    sweep_at: f64,
+    report_s: f64,
+}
+
+/// Runs a node until it is killed.
+pub fn run(settings: Settings, policy: Policy) -> Result<(), NodeError> {
+    let mut event_loop: EventLoop<'static, Node> = EventLoop::try_new()?;
+    let handle = event_loop.handle();
+    let listen = |address| {
+        socket::listen(address, BACKLOG).map_err(|error| NodeError::Listen(address, error))
+    };
+    let users = listen(settings.bind)?;
+    let controllers = listen(settings.peer_bind)?;
+    let report_s = settings.deployment.workers.report_s;
+    let sockets = settings.deployment.quota.max_sockets as f64;
+    let share = |part: f64| (sockets * part) as usize;
+    let idle_s = report_s * 20.0;
+    let mut clients = HashMap::new();
+    clients.insert(
+        Pool::State,
+        Client::new(STATE_CONNS, STATE_CONNS, STATE_BODY, idle_s),
+    );
+    clients.insert(
+        Pool::Cloud,
+        Client::new(CLOUD_CONNS, CLOUD_CONNS, CLOUD_BODY, idle_s),
+    );
+    clients.insert(
+        Pool::Workers,
+        Client::new(1, share(WORKER_SHARE), WORKER_BODY, idle_s),
+    );
+    tracing::info!(
+        label = settings.label,
+        version = env!("CARGO_PKG_VERSION"),
+        "starting"
+    );
+    let settings = Rc::new(settings);
+    let life = SmallRng::from_os_rng().random();
+    let mut node = Node {
+        controller: Controller::new(settings.clone(), Rc::new(policy), life),
+        server: Server::new(share(SERVER_SHARE), idle_s * 2.0, report_s * 4.0),
+        clients,
+        waiting: HashMap::new(),
+        next_call: 1,
+        peers: settings
+            .seeds
+            .iter()
+            .map(|seed| Outgoing::new(seed.address, report_s))
+            .collect(),
+        incoming: HashMap::new(),
+        next_incoming: 1,
+        handle: handle.clone(),
+        tokens: HashMap::new(),
+        state: settings.services.state,
+        cloud: settings.services.cloud,
+        started: Instant::now(),
+        sweep_at: 0.0,
+        report_s,
+    };
+    add_listener(&handle, users, Node::accept_user)?;
+    add_listener(&handle, controllers, Node::accept_peer)?;
+    let tick = Duration::from_secs_f64(report_s / TICKS_PER_REPORT);
+    handle
+        .insert_source(Timer::immediate(), move |_, _, node: &mut Node| {
+            node.tick();
+            TimeoutAction::ToDuration(tick)
+        })
+        .map_err(|error| NodeError::Source(error.to_string()))?;
+    event_loop.run(None, &mut node, |_| {})?;
+    Ok(())
+}
+
+fn add_listener(
+    handle: &LoopHandle<'static, Node>,
+    listener: TcpListener,
+    accept: fn(&mut Node, TcpStream),
+) -> Result<(), NodeError> {
+    let source = Generic::new(listener, Interest::READ, Mode::Level);
+    handle
+        .insert_source(source, move |_, listener, node: &mut Node| {
+            // A failed accept (out of sockets, say) is tried again when the loop comes round.
+            while let Ok((stream, _)) = listener.accept() {
+                let _ = stream.set_nodelay(true);
+                if stream.set_nonblocking(true).is_ok() {
+                    accept(node, stream);
+                }
+            }
+            Ok(PostAction::Continue)
+        })
+        .map_err(|error| NodeError::Source(error.to_string()))?;
+    Ok(())
+}
+
+impl Node {
+    fn now(&self) -> Now {
+        Now {
+            steady: self.started.elapsed().as_secs_f64(),
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0.0, |since| since.as_secs_f64()),
+        }
+    }
+
+    /// Registers a stream; its readiness comes back with its name.
+    fn register(&mut self, source: Source, stream: Rc<TcpStream>) {
+        let generic = Generic::new(stream, Interest::BOTH, Mode::Edge);
+        let inserted = self
+            .handle
+            .insert_source(generic, move |_, _, node: &mut Node| {
+                node.ready(source);
+                Ok(PostAction::Continue)
+            });
+        match inserted {
+            Ok(token) => {
+                self.tokens.insert(source, token);
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be registered");
+                self.forget(source);
+            }
+        }
+    }
+
+    fn unregister(&mut self, source: Source) {
+        if let Some(token) = self.tokens.remove(&source) {
+            self.handle.remove(token);
+        }
+    }
+
+    /// Drops what belongs to a source.
+    fn forget(&mut self, source: Source) {
+        self.unregister(source);
+        match source {
+            Source::Server(id) => self.server.close(id),
+            Source::Incoming(id) => {
+                self.incoming.remove(&id);
+            }
+            Source::Client(..) | Source::Peer(_) => {}
+        }
+    }
+
+    fn accept_user(&mut self, stream: TcpStream) {
+        let now = self.now();
+        let (id, evicted) = self.server.accept(stream, now.steady);
+        if let Some(old) = evicted {
+            self.forget(Source::Server(old));
+        }
+        if let Some(stream) = self.server.stream(id) {
+            self.register(Source::Server(id), stream);
+        }
+    }
+
+    fn accept_peer(&mut self, stream: TcpStream) {
+        let most = INCOMING_PER_PEER * self.peers.len();
+        if self.incoming.len() >= most
+            && let Some(oldest) = self.incoming.keys().min().copied()
+        {
+            self.forget(Source::Incoming(oldest));
+        }
+        let id = self.next_incoming;
+        self.next_incoming += 1;
+        let incoming = Incoming::new(stream);
+        let stream = incoming.stream();
+        self.incoming.insert(id, incoming);
+        self.register(Source::Incoming(id), stream);
+    }
+
+    /// A stream is ready to be read or written.
+    fn ready(&mut self, source: Source) {
+        let now = self.now();
+        match source {
+            Source::Server(id) => {
+                let after = self.server.ready(id, now.steady);
+                self.follow(id, after, now);
+            }
+            Source::Client(pool, id) => {
+                if let Some(client) = self.clients.get_mut(&pool) {
+                    let opened = client.ready(id, now.steady);
+                    if client.stream(id).is_none() {
+                        self.unregister(source);
+                    }
+                    self.register_client(pool, opened);
+                }
+            }
+            Source::Peer(index) => {
+                if let Some(outgoing) = self.peers.get_mut(index)
+                    && !outgoing.ready(now.steady)
+                {
+                    self.unregister(source);
+                }
+            }
+            Source::Incoming(id) => {
+                if let Some(incoming) = self.incoming.get_mut(&id) {
+                    let (frames, open) = incoming.ready(peer::MAX_FRAME);
+                    for frame in frames {
+                        if let Some(beat) = peer::decode(&frame) {
+                            self.controller.beat(beat, now);
+                        }
+                    }
+                    if !open {
+                        self.forget(source);
+                    }
+                }
+            }
+        }
+        self.pump();
+    }
+
+    fn register_client(&mut self, pool: Pool, opened: Option<u64>) {
+        if let Some(id) = opened
+            && let Some(stream) = self.clients.get(&pool).and_then(|client| client.stream(id))
+        {
+            self.register(Source::Client(pool, id), stream);
+        }
+    }
+
+    fn follow(&mut self, id: u64, mut after: After, now: Now) {
+        loop {
+            match after {
+                After::Keep => return,
+                After::Close => {
+                    self.forget(Source::Server(id));
+                    return;
+                }
+                After::Serve(to, request) => {
+                    self.controller
+                        .request(to, &request.method, &request.path, &request.body, now);
+                    // An answer that is there already goes out at once, and the next request in.
+                    after = After::Keep;
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.controller.tick(now);
+        for pool in [Pool::State, Pool::Cloud, Pool::Workers] {
+            let Some(client) = self.clients.get_mut(&pool) else {
+                continue;
+            };
+            let opened = client.expire(now.steady);
+            for id in opened {
+                self.register_client(pool, Some(id));
+            }
+        }
+        if now.steady >= self.sweep_at {
+            self.sweep_at = now.steady + self.report_s / 5.0;
+            for id in self.server.overdue(now.steady) {
+                self.forget(Source::Server(id));
+            }
+            self.drop_stale_tokens();
+        }
+        self.pump();
+    }
+
+    /// Unregisters the connections that the pools have closed by themselves.
+    fn drop_stale_tokens(&mut self) {
+        let stale: Vec<Source> = self
+            .tokens
+            .keys()
+            .filter(|source| match source {
+                Source::Client(pool, id) => self
+                    .clients
+                    .get(pool)
+                    .is_none_or(|client| client.stream(*id).is_none()),
+                _ => false,
+            })
+            .copied()
+            .collect();
+        for source in stale {
+            self.unregister(source);
+        }
+    }
+
+    /// Carries out what the controller wants, and hands it what came back, until nothing is left.
+    fn pump(&mut self) {
+        loop {
+            let now = self.now();
+            let actions = self.controller.take_actions();
+            let idle = actions.is_empty();
+            for action in actions {
+                self.act(action, now);
+            }
+            if !self.deliver(now) && idle {
+                return;
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action, now: Now) {
+        match action {
+            Action::Answer {
+                to,
+                status,
+                body,
+                retry_after_s,
+            } => {
+                let answered = self
+                    .server
+                    .answer(to, status, &body, retry_after_s, now.steady);
+                if let Some((id, after)) = answered {
+                    self.follow(id, after, now);
+                }
+            }
+            Action::Store {
+                tag,
+                call,
+                within_s,
+            } => {
+                let request = call.request();
+                let waiting = Waiting::Store(tag, call);
+                self.send(Pool::State, self.state, request, waiting, within_s, now);
+            }
+            Action::Cloud {
+                tag,
+                call,
+                within_s,
+            } => {
+                let request = call.request();
+                let waiting = Waiting::Cloud(tag, call);
+                self.send(Pool::Cloud, self.cloud, request, waiting, within_s, now);
+            }
+            Action::Worker {
+                tag,
+                endpoint,
+                call,
+                within_s,
+            } => match endpoint.parse::<SocketAddr>() {
+                Ok(to) => {
+                    let request = call.request();
+                    let waiting = Waiting::Worker(tag);
+                    self.send(Pool::Workers, to, request, waiting, within_s, now);
+                }
+                Err(_) => {
+                    tracing::warn!(endpoint, "not an address");
+                    self.controller.worker_reply(tag, WorkerReply::NotSent, now);
+                }
+            },
+            Action::Beat(beat) => {
+                let bytes = peer::encode(&beat);
+                for index in 0..self.peers.len() {
+                    if let Some(stream) = self.peers[index].send(&bytes, now.steady) {
+                        self.unregister(Source::Peer(index));
+                        self.register(Source::Peer(index), stream);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        pool: Pool,
+        to: SocketAddr,
+        (method, path, body): (&'static str, String, Vec<u8>),
+        waiting: Waiting,
+        within_s: f64,
+        now: Now,
+    ) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.waiting.insert(id, waiting);
+        let call = Call {
+            id,
+            to,
+            bytes: http::write_request(method, &to.to_string(), &path, &body),
+            until: now.steady + within_s,
+        };
+        let opened = self
+            .clients
+            .get_mut(&pool)
+            .and_then(|client| client.call(call, now.steady));
+        self.register_client(pool, opened);
+    }
+
+    /// Hands the outcomes of calls to the controller. False: there were none.
+    fn deliver(&mut self, now: Now) -> bool {
+        let done: Vec<(u64, Outcome)> = self
+            .clients
+            .values_mut()
+            .flat_map(Client::take_done)
+            .collect();
+        let any = !done.is_empty();
+        for (id, outcome) in done {
+            let Some(waiting) = self.waiting.remove(&id) else {
+                continue;
+            };
+            match waiting {
+                Waiting::Store(tag, call) => {
+                    let reply = match outcome {
+                        Outcome::Answer(r) => call.reply(r.status, &r.body),
+                        // Certainly not executed, but no more is known of the service.
+                        Outcome::NotSent | Outcome::Silent => StoreReply::Silent,
+                    };
+                    self.controller.store_reply(tag, reply, now);
+                }
+                Waiting::Cloud(tag, call) => {
+                    let reply = match outcome {
+                        Outcome::Answer(r) => call.reply(r.status, &r.body),
+                        Outcome::NotSent | Outcome::Silent => CloudReply::Silent,
+                    };
+                    self.controller.cloud_reply(tag, reply, now);
+                }
+                Waiting::Worker(tag) => {
+                    let reply = match outcome {
+                        Outcome::Answer(r) => WorkerCall::reply(r.status, &r.body),
+                        Outcome::NotSent => WorkerReply::NotSent,
+                        Outcome::Silent => WorkerReply::Silent,
+                    };
+                    self.controller.worker_reply(tag, reply, now);
+                }
+            }
+        }
+        any
+    }
+}
--- /dev/null
+++ b/src/protocol/cbor.rs
@@ -0,0 +1,115 @@
+//! CBOR bodies: encoding, decoding and helpers that read numbers however they were written.
+
+use ciborium::Value;
+use serde::de::{DeserializeOwned, Error as _, Visitor};
+use serde::{Deserializer, Serialize};
+
+/// A body that is not the CBOR that was expected.
+#[derive(Debug, thiserror::Error)]
+#[error("not the expected CBOR: {0}")]
+pub struct CborError(String);
+
+/// Nesting beyond this is refused; no message of ours goes deeper.
+const MAX_DEPTH: usize = 32;
+
+/// Encodes a message. Our own types always encode; an empty body stands for the impossible case.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut body = Vec::with_capacity(256);
+    match ciborium::into_writer(message, &mut body) {
+        Ok(()) => body,
+        Err(_) => Vec::new(),
+    }
+}
+
+/// Decodes a message, refusing deep nesting and trailing bytes.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, CborError> {
+    let mut rest = body;
+    let message = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)
+        .map_err(|error| CborError(error.to_string()))?;
+    if rest.is_empty() {
+        Ok(message)
+    } else {
+        Err(CborError(format!("{} bytes too many", rest.len())))
+    }
+}
+
+/// Converts one of our own types into a value for the state service.
+pub fn to_value<T: Serialize>(message: &T) -> Value {
+    Value::serialized(message).unwrap_or(Value::Null)
+}
+
+/// Reads one of our own types out of a value of the state service.
+pub fn from_value<T: DeserializeOwned>(value: &Value) -> Result<T, CborError> {
+    value
+        .deserialized()
+        .map_err(|error| CborError(error.to_string()))
+}
+
+/// The size of a value in its JSON form, in which the protocol counts its limits. Never too small
+/// for the values we write: numbers are counted with their longest form.
+pub fn json_size(value: &Value) -> usize {
+    match value {
+        Value::Null | Value::Bool(_) => 5,
+        Value::Integer(number) => i128::from(*number).to_string().len(),
+        Value::Float(_) => 24,
+        Value::Text(text) => text.len() + 2 + text.chars().filter(|c| "\"\\".contains(*c)).count(),
+        Value::Array(items) => 2 + items.iter().map(|item| json_size(item) + 1).sum::<usize>(),
+        Value::Map(items) => {
+            2 + items
+                .iter()
+                .map(|(key, item)| json_size(key) + json_size(item) + 2)
+                .sum::<usize>()
+        }
+        _ => 24,
+    }
+}
+
+struct Number;
+
+impl Visitor<'_> for Number {
+    type Value = f64;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("a number")
+    }
+    fn visit_f64<E>(self, number: f64) -> Result<f64, E> {
+        Ok(number)
+    }
+    fn visit_u64<E>(self, number: u64) -> Result<f64, E> {
+        Ok(number as f64)
+    }
+    fn visit_i64<E>(self, number: i64) -> Result<f64, E> {
+        Ok(number as f64)
+    }
+}
+
+/// For `serde(deserialize_with)`: a finite amount, written as a decimal or as an integer.
+pub fn amount<'de, D: Deserializer<'de>>(source: D) -> Result<f64, D::Error> {
+    let number = source.deserialize_any(Number)?;
+    if number.is_finite() {
+        Ok(number)
+    } else {
+        Err(D::Error::custom("a number that is not finite"))
+    }
+}
+
+/// For `serde(deserialize_with)`: an amount that may be null.
+pub fn optional_amount<'de, D: Deserializer<'de>>(source: D) -> Result<Option<f64>, D::Error> {
+    struct Optional;
+    impl<'de> Visitor<'de> for Optional {
+        type Value = Option<f64>;
+        fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+            f.write_str("a number or null")
+        }
+        fn visit_none<E>(self) -> Result<Option<f64>, E> {
+            Ok(None)
+        }
+        fn visit_unit<E>(self) -> Result<Option<f64>, E> {
+            Ok(None)
+        }
+        fn visit_some<D: Deserializer<'de>>(self, source: D) -> Result<Option<f64>, D::Error> {
+            amount(source).map(Some)
+        }
+    }
+    source.deserialize_option(Optional)
+}
--- /dev/null
+++ b/src/protocol/cloud.rs
@@ -0,0 +1,221 @@
+//! The cloud's interface.
+
+use super::cbor;
+use serde::{Deserialize, Serialize};
+
+/// The most machines of one rental request.
+pub const MAX_RENT: u32 = 50;
+/// The most names of one deletion.
+pub const MAX_DELETE: usize = 100;
+/// Machines in a page of the list.
+pub const PAGE: u32 = 500;
+
+/// A machine type.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Flavor {
+    /// Name.
+    #[serde(rename = "Label")]
+    pub name: String,
+    /// CPUs.
+    #[serde(rename = "Cores", deserialize_with = "cbor::amount")]
+    pub cpus: f64,
+    /// GPUs.
+    #[serde(rename = "Gpus", default, deserialize_with = "cbor::amount")]
+    pub gpus: f64,
+    /// Memory.
+    #[serde(rename = "RamGb", deserialize_with = "cbor::amount")]
+    pub ram: f64,
+    /// Space for images.
+    #[serde(rename = "LocalGb", default, deserialize_with = "cbor::amount")]
+    pub cache_gb: f64,
+    /// Image fetch rate.
+    #[serde(rename = "PullGbPerS", default, deserialize_with = "cbor::amount")]
+    pub pull_gb_s: f64,
+    /// Ordinary price per hour.
+    #[serde(rename = "Hourly", deserialize_with = "cbor::amount")]
+    pub hourly: f64,
+    /// Present spot price per hour.
+    #[serde(
+        rename = "MarketPrice",
+        default,
+        deserialize_with = "cbor::optional_amount"
+    )]
+    pub market_price: Option<f64>,
+    /// Usual boot time.
+    #[serde(rename = "ReadyS", deserialize_with = "cbor::amount")]
+    pub ready_s: f64,
+    /// Zones in which it is offered.
+    #[serde(rename = "Groves")]
+    pub zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Flavors {
+    #[serde(rename = "Flavors")]
+    flavors: Vec<Flavor>,
+}
+
+/// State of a machine in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MachineStatus {
+    /// Booting.
+    Starting,
+    /// Up.
+    Running,
+    /// Stopped by itself.
+    Failed,
+    /// A state this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// A machine in the list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Machine {
+    /// Name.
+    #[serde(rename = "NameId")]
+    pub name: String,
+    /// Worker's address.
+    #[serde(rename = "Endpoint", default)]
+    pub endpoint: String,
+    /// Type.
+    #[serde(rename = "Flavor")]
+    pub flavor: String,
+    /// Zone.
+    #[serde(rename = "Grove")]
+    pub zone: String,
+    /// Spot machine.
+    #[serde(rename = "Windfall")]
+    pub spot: bool,
+    /// State.
+    #[serde(rename = "Status")]
+    pub status: MachineStatus,
+    /// Age at the time the list describes.
+    #[serde(rename = "AgeS", default, deserialize_with = "cbor::amount")]
+    pub age_s: f64,
+}
+
+#[derive(Deserialize)]
+struct MachinePage {
+    #[serde(rename = "Hosts")]
+    hosts: Vec<Machine>,
+    #[serde(rename = "More", default)]
+    more: bool,
+}
+
+#[derive(Deserialize)]
+struct Rented {
+    #[serde(rename = "Hosts")]
+    hosts: Vec<String>,
+}
+
+/// A rental request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rental {
+    /// Name of the request; never used twice.
+    #[serde(rename = "Bid")]
+    pub bid: String,
+    /// Type.
+    #[serde(rename = "Flavor")]
+    pub flavor: String,
+    /// Zone.
+    #[serde(rename = "Grove")]
+    pub zone: String,
+    /// Spot machines.
+    #[serde(rename = "Windfall")]
+    pub spot: bool,
+    /// How many.
+    #[serde(rename = "Count")]
+    pub count: u32,
+}
+
+#[derive(Serialize)]
+struct Names<'a> {
+    #[serde(rename = "Hosts")]
+    hosts: &'a [String],
+}
+
+/// A call to the cloud.
+#[derive(Debug, Clone)]
+pub enum CloudCall {
+    /// The catalogue.
+    Types,
+    /// Rent machines.
+    Rent(Rental),
+    /// Delete machines.
+    Delete(Vec<String>),
+    /// List machines after a name.
+    List(Option<String>),
+}
+
+/// What came of a call to the cloud.
+#[derive(Debug, Clone)]
+pub enum CloudReply {
+    /// The catalogue.
+    Types(Vec<Flavor>),
+    /// The names of the machines rented.
+    Rented(Vec<String>),
+    /// None available.
+    NoCapacity,
+    /// The machines are gone.
+    Deleted,
+    /// A page of the list, and whether more follow.
+    Page(Vec<Machine>, bool),
+    /// Too many requests.
+    Busy,
+    /// An outage.
+    Trouble,
+    /// Malformed, says the cloud.
+    Bad,
+    /// No usable answer; the call may be executed at any later time.
+    Silent,
+}
+
+impl CloudCall {
+    /// Method, path and body.
+    pub fn request(&self) -> (&'static str, String, Vec<u8>) {
+        match self {
+            CloudCall::Types => ("GET", "/machine_types".to_owned(), Vec::new()),
+            CloudCall::Rent(rental) => ("POST", "/machines".to_owned(), cbor::encode(rental)),
+            CloudCall::Delete(hosts) => (
+                "POST",
+                "/machines/delete".to_owned(),
+                cbor::encode(&Names { hosts }),
+            ),
+            CloudCall::List(None) => ("GET", format!("/machines?Page={PAGE}"), Vec::new()),
+            CloudCall::List(Some(from)) => (
+                "GET",
+                format!("/machines?From={from}&Page={PAGE}"),
+                Vec::new(),
+            ),
+        }
+    }
+
+    /// Reads the answer.
+    pub fn reply(&self, status: u16, body: &[u8]) -> CloudReply {
+        match (status, self) {
+            (200, CloudCall::Types) => match cbor::decode::<Flavors>(body) {
+                Ok(list) => CloudReply::Types(list.flavors),
+                Err(_) => CloudReply::Silent,
+            },
+            (200, CloudCall::Rent(_)) => match cbor::decode::<Rented>(body) {
+                Ok(rented) => CloudReply::Rented(rented.hosts),
+                Err(_) => CloudReply::Silent,
+            },
+            (200, CloudCall::Delete(_)) => CloudReply::Deleted,
+            (200, CloudCall::List(_)) => match cbor::decode::<MachinePage>(body) {
+                Ok(page) => CloudReply::Page(page.hosts, page.more),
+                Err(_) => CloudReply::Silent,
+            },
+            (503, CloudCall::Rent(_)) => match cbor::decode::<super::job::Refusal>(body) {
+                Ok(refusal) if refusal.error == "no capacity" => CloudReply::NoCapacity,
+                _ => CloudReply::Trouble,
+            },
+            (503, _) => CloudReply::Trouble,
+            (429, _) => CloudReply::Busy,
+            (400, _) => CloudReply::Bad,
+            _ => CloudReply::Silent,
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/worker.rs
@@ -0,0 +1,218 @@
+//! The worker protocol: reports, orders and direct commands.
+
+use super::cbor;
+use serde::{Deserialize, Serialize};
+
+/// A task's place in its job, written `j-000412/3` on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// Job id.
+    pub job: String,
+    /// Number of the task in the job.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Reads the wire form.
+    pub fn parse(text: &str) -> Option<TaskId> {
+        let (job, index) = text.rsplit_once('/')?;
+        Some(TaskId {
+            job: job.to_owned(),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl std::fmt::Display for TaskId {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// State of a task on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StepStatus {
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Saving before it stops.
+    Flushing,
+    /// Ended.
+    Exited,
+    /// A state this version does not know; the task is taken to be on the machine.
+    #[serde(other)]
+    Other,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Failed.
+    Error,
+    /// Refused: not enough free resources.
+    Full,
+    /// Refused: the task is here with another attempt.
+    Busy,
+    /// Refused: no such job or task.
+    NoSuch,
+    /// A cause this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// One task in a report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StepReport {
+    /// Task, in wire form.
+    #[serde(rename = "Step")]
+    pub step: String,
+    /// Attempt.
+    #[serde(rename = "Try")]
+    pub attempt: u64,
+    /// State.
+    #[serde(rename = "Status")]
+    pub status: StepStatus,
+    /// Why it exited.
+    #[serde(rename = "Cause", default)]
+    pub cause: Option<Cause>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Report {
+    /// Machine name.
+    #[serde(rename = "Host")]
+    pub host: String,
+    /// Address for direct commands.
+    #[serde(rename = "Endpoint")]
+    pub endpoint: String,
+    /// Machine type.
+    #[serde(rename = "Flavor")]
+    pub flavor: String,
+    /// Zone.
+    #[serde(rename = "Grove")]
+    pub zone: String,
+    /// Spot machine.
+    #[serde(rename = "Windfall")]
+    pub spot: bool,
+    /// Session.
+    #[serde(rename = "Tenure")]
+    pub tenure: u64,
+    /// Order within the session.
+    #[serde(rename = "Tick")]
+    pub tick: u64,
+    /// Highest token the worker has seen.
+    #[serde(rename = "Epoch")]
+    pub epoch: u64,
+    /// Seconds until the cloud takes the machine.
+    #[serde(
+        rename = "WarningS",
+        default,
+        deserialize_with = "cbor::optional_amount"
+    )]
+    pub warning_s: Option<f64>,
+    /// Tasks on the machine.
+    #[serde(rename = "Steps", default)]
+    pub steps: Vec<StepReport>,
+}
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verb {
+    /// Start a task.
+    Start,
+    /// Stop a task.
+    Halt,
+    /// Drop an exited task from the reports.
+    Clear,
+}
+
+/// One command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// What to do.
+    #[serde(rename = "Verb")]
+    pub verb: Verb,
+    /// To which task.
+    #[serde(rename = "Step")]
+    pub step: String,
+    /// Attempt.
+    #[serde(rename = "Try")]
+    pub attempt: u64,
+    /// Time to save, for `halt`.
+    #[serde(rename = "DrainS", skip_serializing_if = "Option::is_none", default)]
+    pub drain_s: Option<f64>,
+}
+
+/// Answer to a report, and the body of direct commands.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Commands {
+    /// Token.
+    #[serde(rename = "Epoch")]
+    pub epoch: u64,
+    /// Session; only in direct commands.
+    #[serde(rename = "Tenure", skip_serializing_if = "Option::is_none", default)]
+    pub tenure: Option<u64>,
+    /// Commands in order.
+    #[serde(rename = "Orders")]
+    pub orders: Vec<Order>,
+}
+
+/// Body of a 421.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Redirect {
+    /// The node to report to.
+    #[serde(rename = "Foreman", skip_serializing_if = "Option::is_none", default)]
+    pub foreman: Option<String>,
+}
+
+/// A direct call to a worker.
+#[derive(Debug, Clone)]
+pub enum WorkerCall {
+    /// POST /commands.
+    Commands(Commands),
+    /// GET /show.
+    Show,
+}
+
+/// What came of a direct call.
+#[derive(Debug, Clone)]
+pub enum WorkerReply {
+    /// Executed (or shown).
+    Done(Box<Report>),
+    /// Nothing executed: token or session do not match.
+    Mismatch(Box<Report>),
+    /// The call was never sent.
+    NotSent,
+    /// No usable answer; the call may be executed at any later time.
+    Silent,
+}
+
+impl WorkerCall {
+    /// Method, path and body.
+    pub fn request(&self) -> (&'static str, String, Vec<u8>) {
+        match self {
+            WorkerCall::Commands(commands) => {
+                ("POST", "/commands".to_owned(), cbor::encode(commands))
+            }
+            WorkerCall::Show => ("GET", "/show".to_owned(), Vec::new()),
+        }
+    }
+
+    /// Reads the answer.
+    pub fn reply(status: u16, body: &[u8]) -> WorkerReply {
+        match (status, cbor::decode::<Report>(body)) {
+            (200, Ok(report)) => WorkerReply::Done(Box::new(report)),
+            (409, Ok(report)) => WorkerReply::Mismatch(Box::new(report)),
+            _ => WorkerReply::Silent,
+        }
+    }
+}
