--- a/src/bookkeeping/quotas.rs
+++ b/src/bookkeeping/quotas.rs
@@ -38,14 +38,15 @@
         self.teams.contains_key(team)
     }
 
-    /// Whether the job's team may ever run it: one task of an array, all tasks of a service.
+    /// Whether the job's team may ever run it: one task of an array, all tasks of
+    /// a service or a group.
     pub fn could_run(&self, spec: &JobSpec) -> bool {
         let Some((team, _)) = self.teams.get(&spec.team) else {
             return false;
         };
         let tasks = match spec.shape {
             Shape::Array => 1.0,
-            Shape::Standing => f64::from(spec.tasks),
+            Shape::Standing | Shape::Group => f64::from(spec.tasks),
         };
         let below = |need: f64, limit: f64| limit <= 0.0 || need <= limit + ROUNDING;
         below(spec.cpus * tasks, team.cpus_max) && below(spec.gpus * tasks, team.gpus_max)
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -154,6 +154,7 @@
         let spec = match job::parse(body, now.wall) {
             Ok(spec) => spec,
             Err(error) => {
+                tracing::debug!(%error, "malformed submission");
                 self.out.refuse(to, 400, &error.to_string(), None);
                 return;
             }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -4,7 +4,7 @@
 use crate::bookkeeping::jobs::{Job, Jobs};
 use crate::bookkeeping::quotas::Quotas;
 use crate::protocol::cloud::Flavor;
-use crate::protocol::job::{JobSpec, Rank};
+use crate::protocol::job::{JobSpec, Rank, Shape};
 use crate::protocol::worker::TaskId;
 use rand::Rng;
 use rand::seq::index::sample;
@@ -151,6 +151,9 @@
         let need = need(&spec);
         let mut candidates = self.candidates(&spec, rng);
         let mut placed = 0;
+        // The tasks of a group start together or not at all; what has been tried is taken back.
+        let together = spec.shape == Shape::Group && zones.is_empty();
+        let before = (self.plan.binds.len(), self.quotas.clone());
         while placed < waiting && self.plan.binds.len() < MAX_BINDS {
             if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
                 // More room would not help: the team's limit holds them back.
@@ -175,6 +178,17 @@
             self.plan.binds.push((task, chosen.host.name.clone()));
             placed += 1;
         }
+        if together && placed < waiting {
+            for (_, name) in self.plan.binds.drain(before.0..) {
+                if let Some(slot) = self.slots.iter_mut().find(|s| s.host.name == name) {
+                    slot.free = slot.free.plus(&need);
+                    slot.binds -= 1;
+                }
+            }
+            self.quotas = before.1;
+            zones.clear();
+            placed = 0;
+        }
         let mut missing = waiting - placed;
         while missing > 0 {
             if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -20,6 +20,9 @@
 pub enum Shape {
     /// Independent tasks, each of which runs to completion.
     Array,
+    /// Tasks that run to completion and need one another: they are started together. Not in the
+    /// protocol's text, but its users' tools send it; see docs/questions.md.
+    Group,
     /// Replicas that run until the job is cancelled.
     Standing,
 }
