--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -68,6 +68,8 @@
     pub ending: bool,
     /// Failures in a row.
     pub errors: u32,
+    /// The latest attempt, which the tasks of a group share.
+    pub group_attempt: Option<u64>,
     /// No starts before this time.
     pub not_before: f64,
     /// Since when some task has waited, for the oldest age.
@@ -88,6 +90,7 @@
             progress_stamps: HashMap::new(),
             ending: false,
             errors: 0,
+            group_attempt: None,
             not_before: 0.0,
             waiting_since: since,
         }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -17,7 +17,7 @@
 use crate::bookkeeping::records::OverRecord;
 use crate::policy::Policy;
 use crate::protocol::cloud::Flavor;
-use crate::protocol::job::JobSpec;
+use crate::protocol::job::{JobSpec, Shape};
 use crate::protocol::peer::{Counts, MAX_COUNTS};
 use crate::protocol::worker::{Order, Report, StepStatus, TaskId};
 use crate::settings::{DRIFT, Settings};
@@ -333,8 +333,18 @@
         if host.bindings.contains_key(task) || host.steps.contains_key(task) {
             return;
         }
-        self.tries += 1;
-        let attempt = (self.epoch << TRIES_BITS) | self.tries;
+        // The tasks of a group find one another by a common attempt.
+        let mates = match job.group_attempt {
+            Some(attempt) if job.spec.shape == Shape::Group && !job.bound.is_empty() => {
+                Some(attempt)
+            }
+            _ => None,
+        };
+        let attempt = mates.unwrap_or_else(|| {
+            self.tries += 1;
+            (self.epoch << TRIES_BITS) | self.tries
+        });
+        job.group_attempt = Some(attempt);
         let need = scheduler::need(&job.spec);
         let binding = Binding {
             attempt,
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -123,6 +123,7 @@
             .jobs
             .iter()
             .filter(|job| now >= job.not_before && job.waiting() > 0)
+            .filter(|job| job.spec.shape != Shape::Group || job.bound.is_empty())
             .map(|job| (order_key(job, &self.quotas, now), job.spec.id.clone()))
             .collect();
         order.sort_by(|(a, x), (b, y)| {
@@ -152,7 +153,7 @@
         let mut candidates = self.candidates(&spec, rng);
         let mut placed = 0;
         // The tasks of a group start together or not at all; what has been tried is taken back.
-        let together = spec.shape == Shape::Group && zones.is_empty();
+        let together = spec.shape == Shape::Group;
         let before = (self.plan.binds.len(), self.quotas.clone());
         while placed < waiting && self.plan.binds.len() < MAX_BINDS {
             if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
