--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -63,7 +63,7 @@
     /// Tasks bound in each zone.
     pub zones: HashMap<String, u32>,
     /// Versions of its progress keys.
-    pub progress_stamps: HashMap<u32, u64>,
+    pub progress_stamps: BTreeMap<u32, u64>,
     /// Its ending is on the way.
     pub ending: bool,
     /// Failures in a row.
@@ -87,7 +87,7 @@
             done: TaskSet::new(tasks),
             bound: BTreeMap::new(),
             zones: HashMap::new(),
-            progress_stamps: HashMap::new(),
+            progress_stamps: BTreeMap::new(),
             ending: false,
             errors: 0,
             group_attempt: None,
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -18,7 +18,7 @@
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// The times of an input.
@@ -50,9 +50,9 @@
     flavors_at: f64,
     catalogue_read: bool,
     quotas: Quotas,
-    peers: HashMap<String, Peer>,
+    peers: BTreeMap<String, Peer>,
     /// Workers that knocked here while another node leads, and when.
-    knocks: HashMap<String, f64>,
+    knocks: BTreeMap<String, f64>,
     beat_at: f64,
     state_ok_at: Option<f64>,
     hold_over_s: f64,
@@ -90,8 +90,8 @@
             flavors_at: 0.0,
             catalogue_read: false,
             quotas: Quotas::new(&settings.deployment.teams),
-            peers: HashMap::new(),
-            knocks: HashMap::new(),
+            peers: BTreeMap::new(),
+            knocks: BTreeMap::new(),
             beat_at: 0.0,
             state_ok_at: None,
             hold_over_s: times.hold_over_s,
@@ -396,7 +396,7 @@
     fn job_news(&mut self, news: News, now: Now) {
         match news {
             News::Reset(items, revision) => {
-                let listed: HashMap<String, state::Item> = items
+                let listed: BTreeMap<String, state::Item> = items
                     .into_iter()
                     .filter_map(|item| {
                         let id = item.key.strip_prefix(records::OPEN)?.to_owned();
@@ -413,6 +413,9 @@
                 for id in closed {
                     self.job_closed(&id);
                 }
+                if let Some(leader) = &mut self.leader {
+                    leader.keep_open(revision, listed.keys().cloned().collect());
+                }
                 for (id, item) in listed {
                     self.job_opened(&id, item.stamp, &item.value, now);
                 }
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -12,7 +12,7 @@
 use crate::protocol::peer::Counts;
 use crate::protocol::state::{CONDITIONS_PER_OP, Condition, StoreCall, StoreReply, Txn, Write};
 use crate::settings::StateLimits;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// What a user wants.
@@ -61,7 +61,7 @@
 }
 
 /// Open jobs with their versions.
-pub type OpenJobs = HashMap<String, (u64, Rc<JobSpec>)>;
+pub type OpenJobs = BTreeMap<String, (u64, Rc<JobSpec>)>;
 
 /// Final states kept in memory.
 const FINALS: usize = 20_000;
@@ -102,7 +102,7 @@
     pub fn new(limits: &StateLimits, share: f64, patience_s: f64) -> Desk {
         let rate = |all: f64| Bucket::new(all * share, (all * share).max(4.0));
         Desk {
-            open: HashMap::new(),
+            open: BTreeMap::new(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
             counts: HashMap::new(),
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -440,17 +440,10 @@
         }
         for name in names {
             self.fleet.gone.insert(name.clone(), now);
-            let Some(host) = self.hosts.get(name) else {
+            if self.hosts.get(name).is_none() {
                 continue;
-            };
-            let bound: Vec<_> = host
-                .bindings
-                .iter()
-                .map(|(task, b)| (task.clone(), b.attempt))
-                .collect();
-            for (task, attempt) in bound {
-                self.drop_binding(name, &task, attempt, now);
             }
+            self.drop_all_bindings(name, now);
             tracing::info!(host = name, "machine deleted");
             self.ledger.push(Change::Forget { host: name.clone() });
         }
--- a/src/coordination/leader/load.rs
+++ b/src/coordination/leader/load.rs
@@ -139,6 +139,9 @@
             }
         }
         self.closed_early.clear();
+        if let Some((revision, listed)) = self.listed_early.take() {
+            self.keep_open(revision, listed);
+        }
         self.halt_orphans();
         if loading.first {
             tracing::info!(
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -24,7 +24,7 @@
 use fleet::Fleet;
 use load::Loading;
 use rand::rngs::SmallRng;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 pub use reports::ReportAnswer;
@@ -61,14 +61,15 @@
     quotas: Quotas,
     ledger: Ledger,
     loading: Option<Loading>,
-    early: HashMap<String, Report>,
+    early: BTreeMap<String, Report>,
     closed_early: HashSet<String>,
+    listed_early: Option<(u64, BTreeSet<String>)>,
     tries: u64,
     requests: Bucket,
     changes: Bucket,
     write_retry_at: f64,
     schedule_due: bool,
-    push_due: HashSet<String>,
+    push_due: BTreeSet<String>,
     pushing: HashSet<String>,
     pushed_at: HashMap<String, (Vec<Order>, f64)>,
     unplaced: Vec<scheduler::Unplaced>,
@@ -105,14 +106,15 @@
             quotas: Quotas::new(&settings.deployment.teams),
             ledger: Ledger::new(limits),
             loading: Some(Loading::everything()),
-            early: HashMap::new(),
+            early: BTreeMap::new(),
             closed_early: HashSet::new(),
+            listed_early: None,
             tries: 0,
             requests: share(state.rps),
             changes: share(state.write_rps),
             write_retry_at: 0.0,
             schedule_due: true,
-            push_due: HashSet::new(),
+            push_due: BTreeSet::new(),
             pushing: HashSet::new(),
             pushed_at: HashMap::new(),
             unplaced: Vec::new(),
@@ -172,6 +174,23 @@
         self.halt_orphans();
     }
 
+    /// A listing of the open jobs at a revision. The leader's own listing may be older: a job that
+    /// was closed between the two has no event that would tell.
+    pub fn keep_open(&mut self, revision: u64, listed: BTreeSet<String>) {
+        let closed: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|job| job.stamp <= revision && !listed.contains(&job.spec.id))
+            .map(|job| job.spec.id.clone())
+            .collect();
+        for id in closed {
+            self.closed(&id);
+        }
+        if self.loading.is_some() {
+            self.listed_early = Some((revision, listed));
+        }
+    }
+
     /// Orders a stop of all bound tasks whose job is over.
     fn halt_orphans(&mut self) {
         for host in self.hosts.iter_mut() {
@@ -294,6 +313,20 @@
         }
     }
 
+    /// Drops all bindings of a machine that is gone.
+    fn drop_all_bindings(&mut self, name: &str, now: f64) {
+        let bound: Vec<(TaskId, u64)> = self
+            .hosts
+            .get(name)
+            .into_iter()
+            .flat_map(|host| &host.bindings)
+            .map(|(task, binding)| (task.clone(), binding.attempt))
+            .collect();
+        for (task, attempt) in bound {
+            self.drop_binding(name, &task, attempt, now);
+        }
+    }
+
     /// One pass of the scheduler, unless too much waits to be written down.
     fn schedule(&mut self, now: f64) {
         let backlog = MAX_BACKLOG_TXNS * self.settings.deployment.state.txn_ops;
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -76,6 +76,8 @@
         if new_session {
             host.in_flight.clear();
             host.idle_since = now;
+            // Its lease runs from its beginning, of which a direct answer may be the first word.
+            host.lease_from = host.lease_from.max(now);
         } else if by_itself {
             host.settle_answers(report.tick);
         }
--- a/src/coordination/leader/writes.rs
+++ b/src/coordination/leader/writes.rs
@@ -125,6 +125,8 @@
                 }
             }
             Change::Forget { host } => {
+                // A record that was read again meanwhile may have brought bindings back.
+                self.drop_all_bindings(host, now);
                 self.hosts.remove(host);
                 self.push_due.remove(host);
                 self.pushed_at.remove(host);
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -144,38 +144,45 @@
         let waiting = job.waiting();
         let age_s = self.now - job.waiting_since;
         let mut zones = job.zones.clone();
-        let mut tasks = job
-            .waiting_tasks()
-            .take(MAX_BINDS)
-            .collect::<Vec<_>>()
-            .into_iter();
+        let tasks: Vec<u32> = job.waiting_tasks().take(MAX_BINDS).collect();
         let need = need(&spec);
         let mut candidates = self.candidates(&spec, rng);
         let mut placed = 0;
         // The tasks of a group start together or not at all; what has been tried is taken back.
         let together = spec.shape == Shape::Group;
         let before = (self.plan.binds.len(), self.quotas.clone());
-        while placed < waiting && self.plan.binds.len() < MAX_BINDS {
-            if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
-                // More room would not help: the team's limit holds them back.
-                return;
+        // Tasks that the machines with room still show from an attempt that may come back; they
+        // need another machine.
+        let mut barred = 0;
+        let mut limited = false;
+        for index in tasks {
+            if self.plan.binds.len() >= MAX_BINDS {
+                break;
+            }
+            limited = !self.quotas.fits(&spec.team, spec.cpus, spec.gpus);
+            if limited {
+                break;
             }
             if spec.one_zone && zones.is_empty() {
                 self.choose_zone(&mut candidates, &need);
             }
-            let Some(slot) = self.best_slot(&candidates, &spec, &need, &zones) else {
+            let task = TaskId {
+                job: id.to_owned(),
+                index,
+            };
+            let Some(slot) = self.best_slot(&candidates, &spec, &need, &zones, &task) else {
+                let shown = |i: &usize| self.slots[*i].host.steps.contains_key(&task);
+                if candidates.iter().any(shown) {
+                    barred += 1;
+                    continue;
+                }
                 break;
             };
-            let Some(index) = tasks.next() else { break };
             let chosen = &mut self.slots[slot];
             chosen.free = chosen.free.minus(&need);
             chosen.binds += 1;
             *zones.entry(chosen.host.zone.clone()).or_default() += 1;
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
-            let task = TaskId {
-                job: id.to_owned(),
-                index,
-            };
             self.plan.binds.push((task, chosen.host.name.clone()));
             placed += 1;
         }
@@ -190,18 +197,19 @@
             zones.clear();
             placed = 0;
         }
-        let mut missing = waiting - placed;
-        while missing > 0 {
-            if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
-                return;
-            }
+        if limited {
+            // More room would not help: the team's limit holds them back.
+            return;
+        }
+        let mut missing = waiting - placed - barred;
+        while missing > 0 && self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
             if !self.make_room(&candidates, &spec, &need, &zones) {
                 break;
             }
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
             missing -= 1;
         }
-        let missing = missing.min(self.quotas.room(&spec.team, spec.cpus, spec.gpus));
+        let missing = (missing + barred).min(self.quotas.room(&spec.team, spec.cpus, spec.gpus));
         if missing > 0 {
             self.plan.unplaced.push(Unplaced {
                 job: id.to_owned(),
@@ -258,6 +266,7 @@
         spec: &JobSpec,
         need: &Room,
         zones: &HashMap<String, u32>,
+        task: &TaskId,
     ) -> Option<usize> {
         candidates
             .iter()
@@ -266,6 +275,7 @@
                 let slot = &self.slots[*i];
                 slot.free.fits(need)
                     && slot.binds < self.max_per_host
+                    && !slot.host.steps.contains_key(task)
                     && Self::zone_allows(spec, zones, &slot.host.zone)
             })
             .min_by(|a, b| {
