--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -287,6 +287,8 @@
     pub fn note_sent(&mut self, orders: &[Order], answered: Option<u64>) {
         for order in orders.iter().filter(|order| order.verb == Verb::Start) {
             if let Some(task) = TaskId::parse(&order.step) {
+                let direct = answered.is_none();
+                tracing::debug!(host = self.name, %task, attempt = order.attempt, direct, "start sent");
                 let way = self.in_flight.entry((task, order.attempt)).or_default();
                 match answered {
                     Some(tick) => way.answered = Some(tick),
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -465,6 +465,12 @@
                 StoreReply::Committed(stamp) => match &ticket.wish {
                     Wish::Submit(spec) => {
                         self.open.insert(ticket.id.clone(), (*stamp, spec.clone()));
+                        tracing::debug!(
+                            job = ticket.id,
+                            class = spec.class,
+                            tasks = spec.tasks,
+                            "accepted"
+                        );
                         opened.push((*stamp, spec.clone()));
                         out.answer_state(ticket.request, 201, &ticket.id, JobStatus::Queued);
                     }
@@ -474,6 +480,7 @@
                             ending: Ending::Aborted,
                             done,
                         };
+                        tracing::debug!(job = ticket.id, "cancelled");
                         self.note_over(&ticket.id, record);
                         out.answer_state(ticket.request, 200, &ticket.id, JobStatus::Aborted);
                     }
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -617,12 +617,14 @@
         let mut machines = 0;
         let mut busy = 0;
         let mut standing = Room::default();
+        let mut used = Room::default();
         for host in self.hosts.iter() {
             if host.returning || host.taken_at.is_some() || key_of(host) != *key {
                 continue;
             }
             machines += 1;
             busy += u32::from(!host.bindings.is_empty());
+            used = used.plus(&host.used());
             for (task, binding) in &host.bindings {
                 if self.jobs.get(&task.job).is_some_and(|job| job.standing()) {
                     standing = standing.plus(&binding.need);
@@ -675,6 +677,15 @@
             fill,
         };
         let decision = autoscaler::decide(&load, &figures);
+        tracing::debug!(
+            pool = %key,
+            machines,
+            renting,
+            busy,
+            used = used.share_of(&whole),
+            ?load,
+            "pool"
+        );
         if pool.decided != Some(decision) {
             pool.decided = Some(decision);
             tracing::info!(
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -152,6 +152,7 @@
                 }
                 Some(step) if step.status != StepStatus::Fetching && binding.running.is_none() => {
                     binding.running = Some(now);
+                    tracing::debug!(host = name, %task, attempt = binding.attempt, "running");
                     images.push(task.job.clone());
                 }
                 Some(_) => {}
