--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -56,6 +56,8 @@
     pub stamp: u64,
     /// When it came, on this node's steady clock.
     pub since: f64,
+    /// When it should be complete: its deadline, or its class's objective.
+    pub due: Option<f64>,
     /// Completed tasks, written down or about to be.
     pub done: TaskSet,
     /// Where tasks are bound; a task may show up on several hosts after failures.
@@ -80,7 +82,9 @@
     /// A job of which nothing but its key is known.
     pub fn new(spec: JobSpec, stamp: u64, since: f64) -> Job {
         let tasks = spec.tasks;
+        let due = spec.due_s.map(|due| since + due);
         Job {
+            due,
             spec,
             stamp,
             since,
@@ -154,11 +158,6 @@
             }
         }
     }
-
-    /// When the job should be complete, on the steady clock.
-    pub fn due(&self) -> Option<f64> {
-        self.spec.due_s.map(|due| self.since + due)
-    }
 }
 
 /// All open jobs.
--- a/src/bookkeeping/quotas.rs
+++ b/src/bookkeeping/quotas.rs
@@ -76,15 +76,13 @@
         count(cpus, used.cpus, team.cpus_max).min(count(gpus, used.gpus, team.gpus_max)) as u32
     }
 
-    /// Whether the team would use no more than its guarantee with this on top.
-    pub fn within_guarantee(&self, team: &str, cpus: f64, gpus: f64) -> bool {
-        let Some((team, used)) = self.teams.get(team) else {
+    /// Whether so much is within the team's guarantee.
+    pub fn guarantees(&self, team: &str, cpus: f64, gpus: f64) -> bool {
+        let Some((team, _)) = self.teams.get(team) else {
             return false;
         };
         let guaranteed = team.cpus > 0.0 || team.gpus > 0.0;
-        guaranteed
-            && used.cpus + cpus <= team.cpus + ROUNDING
-            && used.gpus + gpus <= team.gpus + ROUNDING
+        guaranteed && cpus <= team.cpus + ROUNDING && gpus <= team.gpus + ROUNDING
     }
 
     /// Whether the team uses more than its guarantee even without this.
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -117,10 +117,14 @@
 /// Share of the cloud's limit that the leader uses; the rest is for the catalogue and for a leader
 /// that has just been deposed.
 const CLOUD_SHARE: f64 = 0.5;
+/// Usual boot times within which most machines are up. Those that are not are no longer counted on.
+const BOOT_USUAL: f64 = 1.5;
 /// Usual boot times after which a machine that is not up is given back.
 const BOOT_PATIENCE: f64 = 2.5;
 /// Longest time for which a refused pool is left alone, in boot times.
 const MAX_BLOCK: f64 = 4.0;
+/// Estimates are often wrong by half.
+const EXPECT_MARGIN: f64 = 1.5;
 /// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
 const MAX_FITTED: u32 = 4000;
 
@@ -225,6 +229,12 @@
     blocked: bool,
 }
 
+impl Offer<'_> {
+    fn unit_price(&self) -> f64 {
+        self.price / self.flavor.cpus.max(1.0)
+    }
+}
+
 #[derive(Default, Clone)]
 struct Demand {
     pending: u32,
@@ -512,7 +522,7 @@
     /// One round of the autoscaler.
     fn scale(&mut self, now: f64) {
         let flavors = self.flavors.clone();
-        let offers: Vec<Offer> = flavors
+        let mut offers: Vec<Offer> = flavors
             .iter()
             .flat_map(|flavor| {
                 flavor
@@ -540,9 +550,11 @@
                 }
             })
             .collect();
-        let mut bins = self.coming(&offers);
+        // The cheap ones first.
+        offers.sort_by(|a, b| a.unit_price().total_cmp(&b.unit_price()));
+        let mut bins = self.coming(&offers, now);
         let mut demand = vec![Demand::default(); offers.len()];
-        self.fit_demand(&offers, &mut bins, &mut demand);
+        self.fit_demand(&offers, &mut bins, &mut demand, now);
         let mut back = BTreeSet::new();
         for (i, offer) in offers.iter().enumerate() {
             let fill = bins.iter().filter(|b| b.pool == i && b.used).count() as u32;
@@ -554,14 +566,15 @@
         }
     }
 
-    /// Machines that are booting or being rented, empty.
-    fn coming(&self, offers: &[Offer]) -> Vec<Bin> {
+    /// Machines that are booting, in the usual time, or being rented: empty.
+    fn coming(&self, offers: &[Offer], now: f64) -> Vec<Bin> {
         let mut bins = Vec::new();
         for (i, offer) in offers.iter().enumerate() {
             let booting = self
                 .hosts
                 .iter()
                 .filter(|h| !h.returning && h.heard.is_none() && key_of(h) == offer.key)
+                .filter(|h| now - h.since <= BOOT_USUAL * offer.flavor.ready_s)
                 .count() as u32;
             let expected: u32 = self
                 .fleet
@@ -582,7 +595,7 @@
     }
 
     /// Fits the waiting tasks onto machines that are coming, then onto machines yet to be rented.
-    fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand]) {
+    fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand], now: f64) {
         let mut left = MAX_FITTED;
         for unplaced in &self.unplaced {
             let Some(job) = self.jobs.get(&unplaced.job) else {
@@ -591,9 +604,16 @@
             let spec = &job.spec;
             let need = scheduler::need(spec);
             let mut zones = job.zones.clone();
+            // Work that may use spot machines waits for them as long as it can still be on time
+            // with an ordinary machine rented later.
+            let time_s = EXPECT_MARGIN * spec.expect_s;
+            let patient = |offer: &Offer| {
+                let ready_s = offer.flavor.ready_s;
+                spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
+            };
             for _ in 0..unplaced.count.min(left) {
                 left -= 1;
-                let Some(bin) = fit(offers, bins, spec, &need, &zones) else {
+                let Some(bin) = fit(offers, bins, spec, &need, &zones, patient) else {
                     break;
                 };
                 let bin = &mut bins[bin];
@@ -622,6 +642,12 @@
             if host.returning || host.taken_at.is_some() || key_of(host) != *key {
                 continue;
             }
+            let overdue = host.heard.is_none()
+                && !host.listed_up
+                && now - host.since > BOOT_USUAL * offer.flavor.ready_s;
+            if overdue {
+                continue;
+            }
             machines += 1;
             busy += u32::from(!host.bindings.is_empty());
             used = used.plus(&host.used());
@@ -758,11 +784,13 @@
     spec: &JobSpec,
     need: &Room,
     zones: &HashMap<String, u32>,
+    patient: impl Fn(&Offer) -> bool,
 ) -> Option<usize> {
     let suits = |offer: &Offer| {
         let zone = &offer.key.zone;
         let other = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
         spec.allows(&offer.key.flavor, zone, offer.key.spot)
+            && (offer.key.spot || !patient(offer))
             && !other
             && zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
     };
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -152,7 +152,11 @@
             return;
         }
         let since = now - (wall - spec.at).clamp(0.0, now.max(0.0) + 1e6);
-        self.jobs.insert(Job::new(spec.clone(), stamp, since));
+        let mut job = Job::new(spec.clone(), stamp, since);
+        if job.due.is_none() && !job.standing() {
+            job.due = self.objective(&spec.class).map(|within| since + within);
+        }
+        self.jobs.insert(job);
         if !self.loading() {
             self.arrivals
                 .entry(spec.class.clone())
@@ -162,6 +166,17 @@
         self.schedule_due = true;
     }
 
+    /// The time within which jobs of a class should be finished, by the tightest objective.
+    fn objective(&self, class: &str) -> Option<f64> {
+        self.settings
+            .deployment
+            .objectives
+            .iter()
+            .filter(|objective| objective.kind == "finished" && objective.class == class)
+            .filter_map(|objective| objective.within_s)
+            .min_by(f64::total_cmp)
+    }
+
     /// A job was closed. Its tasks are stopped; their bindings last until they are gone.
     pub fn closed(&mut self, id: &str) {
         if self.loading.is_some() {
@@ -395,7 +410,9 @@
         host.bindings.insert(task.clone(), binding);
         job.bind(task.index, name, &host.zone);
         self.quotas.take(&job.spec.team, need.cpus, need.gpus);
-        let share = if job.standing() {
+        // Forecasts are for what belongs in the pool: neither replicas, which stay, nor work that
+        // has only spilled over from the spot pools.
+        let share = if job.standing() || (job.spec.spot && !host.spot) {
             None
         } else {
             let flavor = self.flavors.iter().find(|f| f.name == host.flavor);
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -65,15 +65,38 @@
     max_per_host: usize,
     plan: Plan,
     stopped: HashSet<(String, TaskId)>,
+    within: HashSet<String>,
     now: f64,
 }
 
+/// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
+fn within_guarantee(jobs: &Jobs, quotas: &Quotas) -> HashSet<String> {
+    let mut by_age: Vec<&Job> = jobs.iter().collect();
+    by_age.sort_by(|a, b| {
+        a.since
+            .total_cmp(&b.since)
+            .then_with(|| a.spec.id.cmp(&b.spec.id))
+    });
+    let mut sums: HashMap<&str, (f64, f64)> = HashMap::new();
+    let mut within = HashSet::new();
+    for job in by_age {
+        let spec = &job.spec;
+        let sum = sums.entry(&spec.team).or_default();
+        sum.0 += spec.cpus * f64::from(spec.tasks);
+        sum.1 += spec.gpus * f64::from(spec.tasks);
+        if quotas.guarantees(&spec.team, sum.0, sum.1) {
+            within.insert(spec.id.clone());
+        }
+    }
+    within
+}
+
 /// The order in which jobs get room: priority, then within the guarantee, then those that can
 /// still be on time, the earliest deadline first.
-fn order_key(job: &Job, quotas: &Quotas, now: f64) -> (Rank, bool, bool, f64) {
-    let within = quotas.within_guarantee(&job.spec.team, job.spec.cpus, job.spec.gpus);
-    let due = job.due().unwrap_or(job.since);
-    let late = job.due().is_some_and(|due| due < now);
+fn order_key(job: &Job, within: &HashSet<String>, now: f64) -> (Rank, bool, bool, f64) {
+    let within = within.contains(&job.spec.id);
+    let due = job.due.unwrap_or(job.since);
+    let late = job.due.is_some_and(|due| due < now);
     (job.spec.rank, !within, late, due)
 }
 
@@ -112,6 +135,7 @@
             max_per_host,
             plan: Plan::default(),
             stopped: HashSet::new(),
+            within: within_guarantee(jobs, quotas),
             now,
         }
     }
@@ -124,7 +148,7 @@
             .iter()
             .filter(|job| now >= job.not_before && job.waiting() > 0)
             .filter(|job| job.spec.shape != Shape::Group || job.bound.is_empty())
-            .map(|job| (order_key(job, &self.quotas, now), job.spec.id.clone()))
+            .map(|job| (order_key(job, &self.within, now), job.spec.id.clone()))
             .collect();
         order.sort_by(|(a, x), (b, y)| {
             (a.0, a.1, a.2)
@@ -318,9 +342,7 @@
                 return true;
             }
         }
-        let within = self
-            .quotas
-            .within_guarantee(&spec.team, spec.cpus, spec.gpus);
+        let within = self.within.contains(&spec.id);
         let best = usable
             .iter()
             .filter_map(|i| self.victims(*i, spec, need, within).map(|v| (*i, v)))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,7 +50,7 @@
             pickup_s: self.report_s,
             min: 0,
             max: 1000,
-            cooldown_s: pool.ready_s * 1.5,
+            cooldown_s: pool.ready_s * if pool.spot { 1.5 } else { 0.4 },
             window_s: 30.0,
             headroom: 0.0,
         }
