--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -668,7 +668,11 @@
         let figures = self.policy.figures(&PoolView {
             spot: key.spot,
             ready_s: offer.flavor.ready_s,
+            hourly: offer.price,
+            cpus: offer.flavor.cpus,
             busy,
+            machines,
+            waiting: demand.pending,
         });
         let since = self.since;
         let pool = self.fleet.pools.entry(key.clone()).or_default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,13 @@
 //! cedarladder: a cluster scheduler for rented machines.
 //!
 //! The layers, each using only those below it: [`coordination`], [`bookkeeping`], [`protocol`],
-//! [`transport`]. Beside them: [`settings`], [`policy`], [`cli`] and [`node`], which wires the
-//! event loop.
+//! [`transport`]. Beside them: [`settings`], [`policy`], [`latency`], [`cli`] and [`node`],
+//! which wires the event loop.
 
 pub mod bookkeeping;
 pub mod cli;
 pub mod coordination;
+pub mod latency;
 pub mod node;
 pub mod policy;
 pub mod protocol;
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::controller::{Controller, Now};
 use crate::coordination::outbox::{Action, Tag};
+use crate::latency::Latency;
 use crate::policy::Policy;
 use crate::protocol::cloud::{CloudCall, CloudReply};
 use crate::protocol::peer;
@@ -54,6 +55,8 @@
 const WORKER_BODY: usize = 2 * http::MAX_REQUEST_BODY;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 256;
+/// Report intervals between two logs of the latencies.
+const REPORTS_PER_LOG: f64 = 24.0;
 /// Ticks in a report interval.
 const TICKS_PER_REPORT: f64 = 100.0;
 
@@ -73,7 +76,7 @@
 }
 
 enum Waiting {
-    Store(Tag, StoreCall),
+    Store(Tag, StoreCall, f64),
     Cloud(Tag, CloudCall),
     Worker(Tag),
 }
@@ -94,6 +97,8 @@
     started: Instant,
     sweep_at: f64,
     report_s: f64,
+    answers: Latency,
+    state_calls: Latency,
 }
 
 /// Runs a node until it is killed.
@@ -149,6 +154,8 @@
         started: Instant::now(),
         sweep_at: 0.0,
         report_s,
+        answers: Latency::new("answers", report_s * REPORTS_PER_LOG),
+        state_calls: Latency::new("state service", report_s * REPORTS_PER_LOG),
     };
     add_listener(&handle, users, Node::accept_user)?;
     add_listener(&handle, controllers, Node::accept_peer)?;
@@ -339,6 +346,8 @@
         }
         if now.steady >= self.sweep_at {
             self.sweep_at = now.steady + self.report_s / 5.0;
+            self.answers.drive(now.steady);
+            self.state_calls.drive(now.steady);
             for id in self.server.overdue(now.steady) {
                 self.forget(Source::Server(id));
             }
@@ -392,7 +401,8 @@
                 let answered = self
                     .server
                     .answer(to, status, &body, retry_after_s, now.steady);
-                if let Some((id, after)) = answered {
+                if let Some((id, after, waited_s)) = answered {
+                    self.answers.record(waited_s);
                     self.follow(id, after, now);
                 }
             }
@@ -402,7 +412,7 @@
                 within_s,
             } => {
                 let request = call.request();
-                let waiting = Waiting::Store(tag, call);
+                let waiting = Waiting::Store(tag, call, now.steady);
                 self.send(Pool::State, self.state, request, waiting, within_s, now);
             }
             Action::Cloud {
@@ -480,7 +490,10 @@
                 continue;
             };
             match waiting {
-                Waiting::Store(tag, call) => {
+                Waiting::Store(tag, call, sent) => {
+                    if !matches!(call, StoreCall::Follow { .. }) {
+                        self.state_calls.record(now.steady - sent);
+                    }
                     let reply = match outcome {
                         Outcome::Answer(r) => call.reply(r.status, &r.body),
                         // Certainly not executed, but no more is known of the service.
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -176,7 +176,8 @@
         }
     }
 
-    /// Answers a request; says which connection it was and what to do with it then.
+    /// Answers a request; says which connection it was, what to do with it then, and how long the
+    /// request has waited.
     pub fn answer(
         &mut self,
         request: RequestId,
@@ -184,14 +185,15 @@
         body: &[u8],
         retry_after_s: Option<u32>,
         now: f64,
-    ) -> Option<(u64, After)> {
+    ) -> Option<(u64, After, f64)> {
         let id = self.waiting.remove(&request)?;
         let conn = self.conns.get_mut(&id)?;
         let (_, keep_alive) = conn.serving.take()?;
+        let waited_s = now - conn.touched;
         conn.touched = now;
         let bytes = http::write_response(status, body, retry_after_s, keep_alive);
         if !conn.wire.send(&bytes) {
-            return Some((id, After::Close));
+            return Some((id, After::Close, waited_s));
         }
         if !keep_alive {
             conn.closing = true;
@@ -200,9 +202,9 @@
             } else {
                 After::Keep
             };
-            return Some((id, after));
+            return Some((id, after, waited_s));
         }
-        Some((id, self.next_request(id, now)))
+        Some((id, self.next_request(id, now), waited_s))
     }
 
     /// Forgets a connection.
