--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -312,12 +312,14 @@
                     };
                     let image = slot.host.images.contains(&spec.image);
                     let left = slot.free.minus(need).share_of(&slot.whole);
-                    (spec.spot && !slot.host.spot, replicas, !image, left)
+                    // What must start soon goes first of all where nothing has to be fetched.
+                    let fetch = spec.rank <= Rank::Urgent && !image;
+                    (fetch, spec.spot && !slot.host.spot, replicas, !image, left)
                 };
                 let (a, b) = (key(*a), key(*b));
-                (a.0, a.1, a.2)
-                    .cmp(&(b.0, b.1, b.2))
-                    .then(a.3.total_cmp(&b.3))
+                (a.0, a.1, a.2, a.3)
+                    .cmp(&(b.0, b.1, b.2, b.3))
+                    .then(a.4.total_cmp(&b.4))
             })
     }
 
@@ -346,7 +348,10 @@
         let best = usable
             .iter()
             .filter_map(|i| self.victims(*i, spec, need, within).map(|v| (*i, v)))
-            .min_by(|(_, a), (_, b)| a.1.total_cmp(&b.1));
+            .min_by(|(i, a), (j, b)| {
+                let fetch = |i: usize| !self.slots[i].host.images.contains(&spec.image);
+                fetch(*i).cmp(&fetch(*j)).then(a.1.total_cmp(&b.1))
+            });
         let Some((i, (victims, _))) = best else {
             return false;
         };
