Respect an election won while one's own lease is on its way

A node whose lease was granted after another had taken the key used the version it had just seen as its own claim, and deposed the new leader. Ruled out: a lost conflict answer. Now only a free key or one's own label is claimed; tests/election.rs has the case. A session found over is also logged once, not until its end is written.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -183,6 +183,14 @@
         self.step_down()
     }
 
+    /// The version of the key that this node may replace, if it may: no leader, or its own label.
+    fn claim(&self) -> Option<u64> {
+        match &self.known {
+            None => Some(0),
+            Some((record, stamp)) => (record.label == self.me.label).then_some(*stamp),
+        }
+    }
+
     fn patience(&self) -> f64 {
         self.times.life_s * PATIENCE
     }
@@ -207,11 +215,7 @@
             Phase::Following if watching && now >= self.campaign_at => {
                 // One's own label, without leading: an earlier life of this node, or an answer
                 // that was lost. Nobody else acts by it, so it can be replaced at once.
-                let free = match &self.known {
-                    None => true,
-                    Some((record, _)) => record.label == self.me.label,
-                };
-                if free {
+                if self.claim().is_some() {
                     self.phase = Phase::Granting;
                     let life_ms = (self.times.life_s * 1000.0) as u64;
                     out.store(
@@ -242,7 +246,12 @@
                     self.back_off(now);
                     return Outcome::Same;
                 };
-                let stamp = self.known.as_ref().map_or(0, |(_, stamp)| *stamp);
+                // Another may have taken the lead while the lease was on its way.
+                let Some(stamp) = self.claim() else {
+                    out.store(StoreAsk::Drop, StoreCall::Drop(hold), self.patience(), now);
+                    self.phase = Phase::Following;
+                    return Outcome::Same;
+                };
                 let txn = Txn {
                     when: vec![Condition::new(records::LEADER, stamp)],
                     writes: vec![Write::Set {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -270,7 +270,8 @@
         let dead: Vec<String> = self
             .hosts
             .iter()
-            .filter(|host| !host.bindings.is_empty() && now > self.session_over_at(host))
+            .filter(|host| host.bindings.values().any(|binding| !binding.ending))
+            .filter(|host| now > self.session_over_at(host))
             .map(|host| host.name.clone())
             .collect();
         for name in dead {
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -167,6 +167,19 @@
     }
 }
 
+/// Another node takes the lead while this node's lease is on its way: its key is left alone. Taking
+/// over by the version just seen, as if it were one's own, deposed a leader of a few milliseconds.
+#[test]
+fn beaten_to_it() {
+    let mut bed = Bed::new();
+    bed.election.drive(true, &mut bed.out, 0.0);
+    bed.election.observe(Some((record("n1", 5), 7)), 0.0, 0.05);
+    bed.calls();
+    bed.reply(StoreAsk::Grant, StoreReply::Granted(9), 0.0, 0.1);
+    assert_eq!(bed.calls(), vec![StoreCall::Drop(9)]);
+    assert_eq!(bed.election.leader(), Some("n1"));
+}
+
 /// A take without an answer may be applied late; its lease is ended so that it can't be.
 #[test]
 fn unanswered_take() {
