A leader cut off gives back no machines, and asks silent workers before it thinks them lost

Changes: being cut off is judged by reports missed, not by the longer limit, and by hearing nobody at all; a worker that has missed its reports is asked directly, and its answer counts as hearing it.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -212,19 +212,13 @@
                     );
                 }
             }
-            Phase::Following if watching && now >= self.campaign_at => {
-                // One's own label, without leading: an earlier life of this node, or an answer
-                // that was lost. Nobody else acts by it, so it can be replaced at once.
-                if self.claim().is_some() {
-                    self.phase = Phase::Granting;
-                    let life_ms = (self.times.life_s * 1000.0) as u64;
-                    out.store(
-                        StoreAsk::Grant,
-                        StoreCall::Grant(life_ms),
-                        self.patience(),
-                        now,
-                    );
-                }
+            // One's own label, without leading: an earlier life of this node, or an answer that was
+            // lost. Nobody else acts by it, so it can be replaced at once.
+            Phase::Following if watching && now >= self.campaign_at && self.claim().is_some() => {
+                self.phase = Phase::Granting;
+                let life_ms = (self.times.life_s * 1000.0) as u64;
+                let call = StoreCall::Grant(life_ms);
+                out.store(StoreAsk::Grant, call, self.patience(), now);
             }
             _ => {}
         }
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -121,6 +121,10 @@
 const BOOT_USUAL: f64 = 1.5;
 /// Usual boot times after which a machine that is not up is given back.
 const BOOT_PATIENCE: f64 = 2.5;
+/// Report intervals without a report that are more than chance.
+const MISSED_REPORTS: f64 = 2.0;
+/// Report intervals without any report, from whatever worker, that are more than chance.
+const QUIET_REPORTS: f64 = 1.25;
 /// Longest time for which a refused pool is left alone, in boot times.
 const MAX_BLOCK: f64 = 4.0;
 /// Estimates are often wrong by half.
@@ -477,9 +481,18 @@
         let silent_s = lease_s / 2.0;
         let silent = |host: &Host| host.heard.is_some_and(|at| now - at > silent_s);
         let up = self.hosts.iter().filter(|h| h.heard.is_some()).count();
-        let unheard = self.hosts.iter().filter(|h| silent(h)).count();
-        // When most are silent it is this node that is cut off.
-        let cut_off = 2 * unheard > up.max(2);
+        // When most have missed their latest reports it is this node that is cut off. Counting only
+        // those past the longer limit would give back the first few that pass it.
+        let missed_s = MISSED_REPORTS * self.fleet.report_s;
+        let unheard = self
+            .hosts
+            .iter()
+            .filter(|host| host.heard.is_some_and(|at| now - at > missed_s))
+            .count();
+        // So it may be when nobody at all is heard; should this last, the lead is given up.
+        let quiet_s = self.last_report.map_or(0.0, |at| now - at);
+        let nobody = quiet_s > QUIET_REPORTS * self.fleet.report_s && quiet_s < lease_s;
+        let cut_off = 2 * unheard > up || nobody;
         let mut back = Vec::new();
         for host in self.hosts.iter().filter(|host| !host.returning) {
             let ready_s = self
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -12,6 +12,9 @@
 /// Orders in one message, well below the size limit of messages.
 const MAX_ORDERS: usize = 300;
 
+/// Report intervals without a report after which a worker is asked directly.
+const PROBE_AFTER: f64 = 1.5;
+
 /// What to answer a worker.
 #[derive(Debug, PartialEq)]
 pub enum ReportAnswer {
@@ -290,6 +293,13 @@
     /// where it is not known yet.
     pub(super) fn drive_pushes(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
         let report_s = self.settings.deployment.workers.report_s;
+        let missed = |host: &Host| {
+            host.heard
+                .is_some_and(|at| now - at > PROBE_AFTER * report_s)
+        };
+        for host in self.hosts.iter().filter(|host| missed(host)) {
+            self.push_due.insert(host.name.clone());
+        }
         let due: Vec<String> = self.push_due.iter().cloned().collect();
         for name in due {
             if self.pushing.contains(&name) {
@@ -304,8 +314,11 @@
             } else {
                 Vec::new()
             };
+            // A worker that has missed its latest report is asked directly, before it is thought
+            // silent: it may only be on its way from a node that does not answer it.
+            let missed = host.acked && !host.marked && missed(host);
             let up = host.heard.is_some() || host.listed_up || !host.bindings.is_empty();
-            let wanted = !orders.is_empty() || (!host.acked && !host.marked && up);
+            let wanted = !orders.is_empty() || missed || (!host.acked && !host.marked && up);
             if !wanted || host.endpoint.is_empty() {
                 self.push_due.remove(&name);
                 continue;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -81,6 +81,23 @@
     }
 }
 
+/// A leader cut off from all but the state service takes itself for the one that is cut off: it
+/// gives up the lead, and gives back none of the machines it doesn't hear.
+#[test]
+fn a_leader_alone() {
+    for seed in [0, 1, 2, 6, 18] {
+        let mut world = World::new(seed);
+        jobs(&mut world);
+        world.run(30.0 + seed as f64);
+        let before = world.deleted_busy;
+        assert!(world.mute_leader(30.0));
+        world.run(200.0);
+        assert_eq!(world.deleted_busy, before, "seed {seed}");
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<&str>::new(), "seed {seed}");
+    }
+}
+
 /// Days on which something was found, in the order of the finds:
 /// - 22: bindings of a deleted machine came back with a record that was read again, and were never
 ///   counted off;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -282,6 +282,10 @@
     /// Rules broken, in words.
     pub broken: Vec<String>,
     pub starts: u32,
+    /// Machines deleted while tasks ran on them.
+    pub deleted_busy: u32,
+    /// Nodes that reach nobody but the state service, and nobody them, until then.
+    muted: [f64; 3],
 }
 
 impl World {
@@ -322,6 +326,8 @@
             rng: SmallRng::seed_from_u64(seed),
             broken: Vec::new(),
             starts: 0,
+            deleted_busy: 0,
+            muted: [0.0; 3],
         };
         for i in 0..3 {
             world.at(0.0, What::Restart(i));
@@ -473,6 +479,8 @@
                     self.with(i, |node| node.cloud_reply(tag, reply, now));
                 }
             }
+            What::WorkerAt(i, ..) | What::ReportAt(i, ..) | What::BeatAt(i, _)
+                if self.now < self.muted[i] => {}
             What::WorkerAt(i, life, tag, host, call) => {
                 self.worker_call(i, life, tag, &host, &call)
             }
@@ -571,6 +579,7 @@
                     self.after(within_s, silent);
                     self.send(What::WorkerAt(i, life, tag, endpoint, call));
                 }
+                Action::Beat(_) if self.now < self.muted[i] => {}
                 Action::Beat(beat) => {
                     for peer in (0..3).filter(|peer| *peer != i) {
                         self.after(0.001, What::BeatAt(peer, beat.clone()));
@@ -684,6 +693,8 @@
             }
             CloudCall::Delete(names) => {
                 for name in names {
+                    let busy = |w: &Worker| w.running().next().is_some();
+                    self.deleted_busy += u32::from(self.workers.get(name).is_some_and(busy));
                     self.machines.remove(name);
                     self.workers.remove(name);
                 }
@@ -714,6 +725,18 @@
         true
     }
 
+    /// Cuts the leader off from all but the state service. False: nobody leads.
+    pub fn mute_leader(&mut self, for_s: f64) -> bool {
+        let leads = |n: &Option<Controller>| n.as_ref().is_some_and(Controller::leads);
+        match self.nodes.iter().position(leads) {
+            Some(leader) => {
+                self.muted[leader] = self.now + for_s;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Makes a machine deaf and mute for a while.
     pub fn cut_machine(&mut self, nth: usize, for_s: f64) {
         let until = self.now + for_s;
