--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -107,8 +107,6 @@
     pub ending: bool,
     /// It is to be stopped, with this time to save.
     pub halt: Option<(f64, HaltReason)>,
-    /// When it was bound.
-    pub since: f64,
     /// When it was first seen running.
     pub running: Option<f64>,
 }
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -35,6 +35,15 @@
     compared_open: bool,
 }
 
+impl Ticket {
+    /// Whether a failed comparison may be about this job.
+    fn concerned(&self, failed: &[String]) -> bool {
+        failed.is_empty()
+            || failed.contains(&records::open(&self.id))
+            || failed.contains(&records::over(&self.id))
+    }
+}
+
 /// A look at the keys of one job, for those who ask.
 #[derive(Debug, Default)]
 struct Look {
@@ -399,11 +408,7 @@
             match &reply {
                 StoreReply::Committed(_) => self.answer_poll(ticket, out),
                 StoreReply::Conflict(failed) => {
-                    let touched = |key: String| failed.contains(&key);
-                    if failed.is_empty()
-                        || touched(records::open(&ticket.id))
-                        || touched(records::over(&ticket.id))
-                    {
+                    if ticket.concerned(failed) {
                         self.look(ticket);
                     } else {
                         self.polls.push_back(ticket);
@@ -486,11 +491,7 @@
                     }
                 },
                 StoreReply::Conflict(failed) => {
-                    let touched = |key: String| failed.contains(&key);
-                    if failed.is_empty()
-                        || touched(records::open(&ticket.id))
-                        || touched(records::over(&ticket.id))
-                    {
+                    if ticket.concerned(failed) {
                         self.look(ticket);
                     } else {
                         self.writes.push_back(ticket);
--- a/src/coordination/leader/load.rs
+++ b/src/coordination/leader/load.rs
@@ -186,7 +186,6 @@
 
     fn load_host(&mut self, name: &str, stamp: u64, record: HostRecord, now: f64) {
         let lease_from = self.since + self.hold_over_s;
-        let inherited_at = now;
         let host = self.hosts.entry(name, || {
             let mut host = Host::new(name, &record.flavor, &record.zone, record.spot, now);
             host.endpoint = record.endpoint.clone();
@@ -221,7 +220,6 @@
                 inherited: true,
                 ending: false,
                 halt: None,
-                since: inherited_at,
                 running: None,
             };
             host.bindings.insert(task.clone(), binding);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -404,7 +404,6 @@
             inherited: false,
             ending: false,
             halt: None,
-            since: now,
             running: None,
         };
         tracing::debug!(host = name, %task, attempt, "bound");
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -179,8 +179,6 @@
 pub enum WorkerCall {
     /// POST /commands.
     Commands(Commands),
-    /// GET /show.
-    Show,
 }
 
 /// What came of a direct call.
@@ -203,7 +201,6 @@
             WorkerCall::Commands(commands) => {
                 ("POST", "/commands".to_owned(), cbor::encode(commands))
             }
-            WorkerCall::Show => ("GET", "/show".to_owned(), Vec::new()),
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -76,7 +76,6 @@
         inherited: false,
         ending: false,
         halt: None,
-        since: 0.0,
         running: Some(0.0),
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -865,7 +865,6 @@
             return;
         }
         let reply = match call {
-            WorkerCall::Show => WorkerReply::Done(Box::new(worker.report())),
             WorkerCall::Commands(commands) => {
                 if commands.epoch < worker.epoch || commands.tenure != Some(worker.tenure) {
                     WorkerReply::Mismatch(Box::new(worker.report()))
