--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -81,6 +81,27 @@
     }
 }
 
+/// Many times more than the machines can do: reports are answered ahead of all leases, no rule is
+/// broken, and a cancelled job still goes at once.
+#[test]
+fn far_too_much() {
+    let mut world = World::new(3);
+    for n in 0..40 {
+        let cancel = (n % 4 == 0).then_some(30.0);
+        let at = 1.0 + 0.2 * f64::from(n);
+        world.user(n, at, (60, 5.0, false, n % 2 == 0), cancel);
+    }
+    world.run(60.0);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.lost_sessions(), 0);
+    assert!(world.starts > 100, "{} starts", world.starts);
+    let told = world
+        .users
+        .iter()
+        .filter(|u| u.cancel_at.is_some() && (u.told_cancelled.is_some() || u.told_done));
+    assert_eq!(told.count(), 10);
+}
+
 /// A leader cut off from all but the state service takes itself for the one that is cut off: it
 /// gives up the lead, and gives back none of the machines it doesn't hear.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1103,6 +1103,11 @@
             .collect()
     }
 
+    /// Workers that have lost a session to their lease.
+    pub fn lost_sessions(&self) -> usize {
+        self.workers.values().filter(|w| w.tenure > 1).count()
+    }
+
     pub fn machines(&self) -> usize {
         self.machines.len()
     }
