--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -93,7 +93,7 @@
             .collect();
         let slots = hosts
             .iter()
-            .filter(|host| host.usable())
+            .filter(|host| host.usable() && host.errors < MAX_ERRORS)
             .filter_map(|host| {
                 let whole = *sizes.get(host.flavor.as_str())?;
                 Some(Slot {
@@ -267,7 +267,6 @@
                 slot.free.fits(need)
                     && slot.binds < self.max_per_host
                     && Self::zone_allows(spec, zones, &slot.host.zone)
-                    && slot.host.errors < MAX_ERRORS
             })
             .min_by(|a, b| {
                 let key = |i: usize| {
@@ -304,7 +303,7 @@
         for i in &usable {
             let slot = &mut self.slots[*i];
             let room = slot.free.plus(&slot.leaving);
-            if room.fits(need) {
+            if room.fits(need) && slot.binds < self.max_per_host {
                 slot.leaving = slot.leaving.minus(need);
                 return true;
             }
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,108 @@
+//! Small builders for tests.
+#![allow(dead_code)]
+
+use cedarladder::bookkeeping::hosts::{Binding, Host, Room};
+use cedarladder::bookkeeping::jobs::Job;
+use cedarladder::protocol::cloud::Flavor;
+use cedarladder::protocol::job::{JobSpec, Rank, Shape};
+use cedarladder::protocol::worker::{Cause, StepReport, StepStatus, TaskId};
+use cedarladder::settings::Team;
+
+pub fn spec(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.to_owned(),
+        class: "c".into(),
+        team: "t".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        cpus: 2.0,
+        gpus: 0.0,
+        ram: 1.0,
+        flavors: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "img".into(),
+        image_gb: 0.5,
+        expect_s: 10.0,
+        snapshot_s: 0.0,
+        flush_s: 0.0,
+        due_s: None,
+        at: 0.0,
+    }
+}
+
+pub fn job(spec: JobSpec) -> Job {
+    Job::new(spec, 5, 0.0)
+}
+
+pub fn flavor(name: &str) -> Flavor {
+    Flavor {
+        name: name.into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        ram: 32.0,
+        cache_gb: 50.0,
+        pull_gb_s: 1.0,
+        hourly: 1.0,
+        market_price: Some(0.25),
+        ready_s: 25.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+/// A host that is up and takes tasks.
+pub fn host(name: &str, zone: &str, spot: bool) -> Host {
+    let mut host = Host::new(name, "f", zone, spot, 0.0);
+    host.acked = true;
+    host.heard = Some(0.0);
+    host.tenure = 1;
+    host
+}
+
+pub fn binding(spec: &JobSpec, attempt: u64) -> Binding {
+    Binding {
+        attempt,
+        tenure: 1,
+        need: Room {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            ram: spec.ram,
+        },
+        team: spec.team.clone(),
+        durable: true,
+        inherited: false,
+        ending: false,
+        halt: None,
+        since: 0.0,
+        running: Some(0.0),
+    }
+}
+
+pub fn task(job: &str, index: u32) -> TaskId {
+    TaskId {
+        job: job.into(),
+        index,
+    }
+}
+
+pub fn step(task: &TaskId, attempt: u64, status: StepStatus, cause: Option<Cause>) -> StepReport {
+    StepReport {
+        step: task.to_string(),
+        attempt,
+        status,
+        cause,
+    }
+}
+
+pub fn team(name: &str, cpus: f64, cpus_max: f64) -> Team {
+    Team {
+        name: name.into(),
+        cpus,
+        cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    }
+}
--- /dev/null
+++ b/tests/desk.rs
@@ -0,0 +1,240 @@
+//! The users' desk: every wish against every state of the job's keys.
+
+mod common;
+
+use cedarladder::bookkeeping::records::{self, Ending, OverRecord};
+use cedarladder::coordination::desk::Desk;
+use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
+use cedarladder::protocol::cbor;
+use cedarladder::protocol::state::{Item, StoreCall, StoreReply, Txn};
+use cedarladder::settings::StateLimits;
+use common::spec;
+
+const ID: &str = "j-1";
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Truth {
+    Never,
+    Open,
+    Done,
+    Aborted,
+}
+
+fn limits() -> StateLimits {
+    StateLimits {
+        rps: 600.0,
+        write_rps: 600.0,
+        value_kb: 8.0,
+        txn_ops: 48,
+    }
+}
+
+fn over(truth: Truth) -> OverRecord {
+    let ending = match truth {
+        Truth::Aborted => Ending::Aborted,
+        _ => Ending::Done,
+    };
+    OverRecord { ending, done: 1 }
+}
+
+/// Answers the desk's calls as a state service in this state would, until the user is answered.
+fn serve(desk: &mut Desk, out: &mut Outbox, truth: Truth) -> (u16, String) {
+    for _ in 0..10 {
+        for action in std::mem::take(&mut out.actions) {
+            match action {
+                Action::Answer { status, body, .. } => {
+                    let body: ciborium::Value = cbor::decode(&body).unwrap();
+                    return (status, format!("{body:?}"));
+                }
+                Action::Store { tag, call, .. } => {
+                    let (ask, _) = out.store_ask(tag).unwrap();
+                    let reply = state_service(&call, truth);
+                    match ask {
+                        StoreAsk::Check => desk.checked(reply, out, 0.1),
+                        StoreAsk::Write => {
+                            desk.written(reply, out, 0.1);
+                        }
+                        StoreAsk::Look(id) => desk.looked(&id, reply, out, 0.1),
+                        _ => unreachable!(),
+                    }
+                }
+                _ => unreachable!(),
+            }
+        }
+    }
+    panic!("no answer");
+}
+
+fn state_service(call: &StoreCall, truth: Truth) -> StoreReply {
+    let stamp = |key: &str| {
+        let open = key == records::open(ID) && truth == Truth::Open;
+        let over = key == records::over(ID) && matches!(truth, Truth::Done | Truth::Aborted);
+        if open || over { 5 } else { 0 }
+    };
+    match call {
+        StoreCall::Txn(Txn { when, .. }) => {
+            let failed: Vec<String> = when
+                .iter()
+                .filter(|c| stamp(&c.key) != c.stamp)
+                .map(|c| c.key.clone())
+                .collect();
+            if failed.is_empty() {
+                StoreReply::Committed(9)
+            } else {
+                StoreReply::Conflict(failed)
+            }
+        }
+        StoreCall::Get(key) if stamp(key) != 0 => {
+            let value = if truth == Truth::Open {
+                cbor::to_value(&spec(ID, 1))
+            } else {
+                cbor::to_value(&over(truth))
+            };
+            StoreReply::Found(Item {
+                key: key.clone(),
+                value,
+                stamp: 5,
+                hold: None,
+            })
+        }
+        _ => StoreReply::Missing,
+    }
+}
+
+#[test]
+fn answers() {
+    use Truth::{Aborted, Done, Never, Open};
+    // (wish, truth, status, a word of the answer)
+    let cases = [
+        ("submit", Never, 201, "queued"),
+        ("submit", Open, 200, "queued"),
+        ("submit", Done, 200, "done"),
+        ("submit", Aborted, 200, "aborted"),
+        ("hopeless", Never, 422, "why"),
+        ("hopeless", Open, 200, "queued"),
+        ("hopeless", Done, 200, "done"),
+        ("poll", Never, 404, "no such job"),
+        ("poll", Open, 200, "queued"),
+        ("poll", Done, 200, "done"),
+        ("poll", Aborted, 200, "aborted"),
+        ("cancel", Never, 404, "no such job"),
+        ("cancel", Open, 200, "aborted"),
+        ("cancel", Done, 200, "done"),
+        ("cancel", Aborted, 200, "aborted"),
+    ];
+    for (wish, truth, status, word) in cases {
+        // What the node believes may be late in either way.
+        for belief in [Never, Open] {
+            let mut desk = Desk::new(&limits(), 1.0, 1.0);
+            let mut out = Outbox::default();
+            if belief == Open {
+                desk.note_open(5, spec(ID, 1));
+            }
+            match wish {
+                "submit" => desk.submit(1, spec(ID, 1), None, &mut out, 0.0),
+                "hopeless" => desk.submit(1, spec(ID, 1), Some("why"), &mut out, 0.0),
+                "poll" => desk.poll(1, ID, &mut out, 0.0),
+                _ => desk.cancel(1, ID, &mut out, 0.0),
+            }
+            let (got, body) = serve(&mut desk, &mut out, truth);
+            let name = format!("{wish}, job {truth:?}, believed {belief:?}");
+            assert_eq!(got, status, "{name}: {body}");
+            assert!(body.contains(word), "{name}: {body}");
+        }
+    }
+}
+
+/// A job that was compared as open and has been closed before the answer came is not denied.
+#[test]
+fn closed_while_compared() {
+    let mut desk = Desk::new(&limits(), 1.0, 1.0);
+    let mut out = Outbox::default();
+    desk.note_open(5, spec(ID, 1));
+    desk.poll(1, ID, &mut out, 0.0);
+    out.actions.clear();
+    desk.note_closed(ID);
+    desk.checked(StoreReply::Committed(9), &mut out, 0.1);
+    assert_eq!(serve(&mut desk, &mut out, Truth::Done).0, 200);
+}
+
+/// Who asks while a look is on its way gets a look of its own: what the first one found may be
+/// older than the question.
+#[test]
+fn asked_while_looking() {
+    let mut desk = Desk::new(&limits(), 1.0, 1.0);
+    let mut out = Outbox::default();
+    desk.cancel(1, ID, &mut out, 0.0);
+    out.actions.clear();
+    desk.cancel(2, ID, &mut out, 0.0);
+    desk.looked(ID, StoreReply::Missing, &mut out, 0.1);
+    out.actions.clear();
+    desk.looked(ID, StoreReply::Missing, &mut out, 0.1);
+    let first: Vec<u64> = out
+        .actions
+        .iter()
+        .filter_map(|a| match a {
+            Action::Answer {
+                to, status: 404, ..
+            } => Some(*to),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(first, vec![1]);
+    out.actions.retain(|a| !matches!(a, Action::Answer { .. }));
+    assert_eq!(serve(&mut desk, &mut out, Truth::Open).0, 200);
+}
+
+/// What can't be taken is answered at once.
+#[test]
+fn refusals() {
+    type Steps = fn(&mut Desk, &mut Outbox);
+    let cases: [(&str, Steps, u16); 3] = [
+        (
+            "the state service refuses",
+            |d, out| {
+                d.submit(1, spec(ID, 1), None, out, 0.0);
+                out.actions.clear();
+                d.written(StoreReply::Refused, out, 0.0);
+            },
+            503,
+        ),
+        (
+            "it has just refused another",
+            |d, out| {
+                d.poll(1, "j-2", out, 0.0);
+                d.checked(StoreReply::Refused, out, 0.0);
+                out.actions.clear();
+                d.submit(2, spec(ID, 1), None, out, 0.1);
+            },
+            503,
+        ),
+        (
+            "too many wait",
+            |d, out| {
+                for i in 0..3000 {
+                    d.poll(i, &format!("j-{i}"), out, 0.0);
+                }
+                out.actions.retain(|a| matches!(a, Action::Answer { .. }));
+                out.actions.truncate(1);
+            },
+            429,
+        ),
+    ];
+    for (name, steps, expected) in cases {
+        let mut desk = Desk::new(&limits(), 1.0, 1.0);
+        let mut out = Outbox::default();
+        steps(&mut desk, &mut out);
+        let [
+            Action::Answer {
+                status,
+                retry_after_s,
+                ..
+            },
+        ] = &out.actions[..]
+        else {
+            panic!("{name}: one answer");
+        };
+        assert_eq!(*status, expected, "{name}");
+        assert_eq!(*retry_after_s, Some(1), "{name}");
+    }
+}
--- /dev/null
+++ b/tests/election.rs
@@ -0,0 +1,179 @@
+//! The election, step by step.
+
+use cedarladder::bookkeeping::records::LeaderRecord;
+use cedarladder::coordination::election::{Election, Outcome, Times};
+use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
+use cedarladder::protocol::state::{StoreCall, StoreReply};
+
+const LEASE_S: f64 = 10.0;
+
+struct Bed {
+    election: Election,
+    out: Outbox,
+}
+
+impl Bed {
+    fn new() -> Bed {
+        Bed {
+            election: Election::new("n0", 1, Times::new(LEASE_S)),
+            out: Outbox::default(),
+        }
+    }
+    fn calls(&mut self) -> Vec<StoreCall> {
+        std::mem::take(&mut self.out.actions)
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::Store { call, .. } => Some(call),
+                _ => None,
+            })
+            .collect()
+    }
+    fn reply(&mut self, ask: StoreAsk, reply: StoreReply, sent: f64, now: f64) -> Outcome {
+        self.election.reply(&ask, &reply, sent, &mut self.out, now)
+    }
+    /// Wins with Epoch 42 at time 0.1; the lease was asked for at time 0.
+    fn won(mut self) -> Bed {
+        self.election.drive(true, &mut self.out, 0.0);
+        self.reply(StoreAsk::Grant, StoreReply::Granted(9), 0.0, 0.05);
+        let outcome = self.reply(StoreAsk::Take, StoreReply::Committed(42), 0.05, 0.1);
+        assert_eq!(outcome, Outcome::Won(42));
+        self.calls();
+        self
+    }
+}
+
+fn record(label: &str, life: u64) -> LeaderRecord {
+    LeaderRecord {
+        label: label.into(),
+        life,
+    }
+}
+
+#[test]
+fn campaigns() {
+    let cases: [(&str, Option<(LeaderRecord, u64)>, bool, Option<u64>); 5] = [
+        ("nobody leads", None, true, Some(0)),
+        ("the key is not known yet", None, false, None),
+        ("another leads", Some((record("n1", 5), 7)), true, None),
+        (
+            "an earlier life of this node",
+            Some((record("n0", 5), 7)),
+            true,
+            Some(7),
+        ),
+        (
+            "this life, after a lost answer",
+            Some((record("n0", 1), 7)),
+            true,
+            Some(7),
+        ),
+    ];
+    for (name, known, watching, takes) in cases {
+        let mut bed = Bed::new();
+        bed.election.observe(known, 0.0, 0.0);
+        bed.election.drive(watching, &mut bed.out, 1.0);
+        let granted = bed.calls();
+        let Some(stamp) = takes else {
+            assert_eq!(granted, vec![], "{name}");
+            continue;
+        };
+        assert_eq!(granted, vec![StoreCall::Grant(2000)], "{name}");
+        bed.reply(StoreAsk::Grant, StoreReply::Granted(9), 1.0, 1.1);
+        let [StoreCall::Txn(txn)] = &bed.calls()[..] else {
+            panic!("{name}: a transaction");
+        };
+        assert_eq!(txn.when[0].stamp, stamp, "{name}");
+    }
+}
+
+#[test]
+fn reigns() {
+    type Steps = fn(&mut Bed) -> Outcome;
+    // (name, steps, outcome of the last, still leading)
+    let cases: [(&str, Steps, Outcome, bool); 9] = [
+        (
+            "a renewal",
+            |b| b.reply(StoreAsk::Renew, StoreReply::Ok, 1.0, 1.1),
+            Outcome::Same,
+            true,
+        ),
+        (
+            "the lease is over",
+            |b| b.reply(StoreAsk::Renew, StoreReply::Gone, 1.0, 1.1),
+            Outcome::Lost,
+            false,
+        ),
+        (
+            "a refused renewal: hold-over",
+            |b| b.reply(StoreAsk::Renew, StoreReply::Refused, 1.0, 1.1),
+            Outcome::Same,
+            true,
+        ),
+        (
+            "a lower Epoch is seen",
+            |b| b.election.notice(41),
+            Outcome::Same,
+            true,
+        ),
+        (
+            "a higher Epoch is seen",
+            |b| b.election.notice(43),
+            Outcome::Lost,
+            false,
+        ),
+        (
+            "the watch is late and shows an earlier leader",
+            |b| b.election.observe(Some((record("n1", 5), 30)), 0.0, 1.0),
+            Outcome::Same,
+            true,
+        ),
+        (
+            "the watch shows a later leader",
+            |b| b.election.observe(Some((record("n1", 5), 50)), 0.0, 1.0),
+            Outcome::Lost,
+            false,
+        ),
+        (
+            "no renewal until the hold-over ends",
+            |b| b.election.drive(true, &mut b.out, 3.0 * LEASE_S - 0.1),
+            Outcome::Same,
+            true,
+        ),
+        (
+            "no renewal beyond the hold-over",
+            |b| b.election.drive(true, &mut b.out, 3.0 * LEASE_S + 0.1),
+            Outcome::Lost,
+            false,
+        ),
+    ];
+    for (name, steps, outcome, leads) in cases {
+        let mut bed = Bed::new().won();
+        assert_eq!(steps(&mut bed), outcome, "{name}");
+        assert_eq!(bed.election.epoch().is_some(), leads, "{name}");
+    }
+}
+
+/// The lead is certain only for the life of the lease, counted from when the renewal was sent.
+#[test]
+fn confirmation() {
+    let mut bed = Bed::new().won();
+    for (now, confirmed) in [(0.1, true), (1.9, true), (2.0, false), (5.0, false)] {
+        assert_eq!(bed.election.confirmed(now), confirmed, "at {now}");
+    }
+    bed.reply(StoreAsk::Renew, StoreReply::Ok, 1.5, 5.0);
+    for (now, confirmed) in [(3.4, true), (3.5, false)] {
+        assert_eq!(bed.election.confirmed(now), confirmed, "renewed, at {now}");
+    }
+}
+
+/// A take without an answer may be applied late; its lease is ended so that it can't be.
+#[test]
+fn unanswered_take() {
+    let mut bed = Bed::new();
+    bed.election.drive(true, &mut bed.out, 0.0);
+    bed.reply(StoreAsk::Grant, StoreReply::Granted(9), 0.0, 0.1);
+    bed.calls();
+    bed.reply(StoreAsk::Take, StoreReply::Silent, 0.1, 0.8);
+    assert_eq!(bed.calls(), vec![StoreCall::Drop(9)]);
+    assert_eq!(bed.election.epoch(), None);
+}
--- /dev/null
+++ b/tests/end_to_end.rs
@@ -0,0 +1,112 @@
+//! Three controllers in a simulated world, with crashes, outages, cuts, and lost and late messages.
+
+mod world;
+
+use world::{Weather, World};
+
+/// Jobs of all kinds; some are cancelled.
+fn jobs(world: &mut World) {
+    world.user(1, 0.5, (3, 4.0, false, true), None);
+    world.user(2, 1.0, (6, 6.0, false, false), None);
+    world.user(3, 1.5, (2, 0.0, true, false), None);
+    world.user(4, 2.0, (1, 0.0, true, false), Some(40.0));
+    world.user(5, 3.0, (30, 8.0, false, true), Some(30.0));
+    world.user(6, 20.0, (10, 5.0, false, true), None);
+    world.user(7, 45.0, (4, 5.0, false, false), None);
+    world.user(8, 60.0, (3, 0.0, true, false), None);
+}
+
+#[test]
+fn days() {
+    type Trouble = fn(&mut World);
+    let cases: [(&str, Trouble); 9] = [
+        ("quiet", |_| {}),
+        ("a controller crashes", |w| w.crash(0, 20.0, 25.0)),
+        ("each controller in turn", |w| {
+            for i in 0..3 {
+                w.crash(i, 20.0 + 12.0 * i as f64, 25.0 + 12.0 * i as f64);
+            }
+        }),
+        ("all controllers at once, one back at once", |w| {
+            w.crash(0, 30.0, 30.2);
+            w.crash(1, 30.0, 35.0);
+            w.crash(2, 30.0, 36.0);
+        }),
+        (
+            "the state service is out for longer than a worker's lease",
+            |w| w.outage(25.0, 45.0),
+        ),
+        ("a crash during an outage", |w| {
+            w.outage(25.0, 40.0);
+            w.crash(1, 30.0, 35.0);
+            w.crash(0, 38.0, 43.0);
+        }),
+        ("machines are taken", |w| {
+            for at in [25.0, 35.0, 50.0] {
+                w.run(at);
+                w.take_machine();
+            }
+        }),
+        (
+            "machines are cut off for shorter and longer than their lease",
+            |w| {
+                w.run(20.0);
+                w.cut_machine(0, 6.0);
+                w.cut_machine(1, 25.0);
+                w.run(50.0);
+                w.cut_machine(1, 14.0);
+            },
+        ),
+        ("answers are lost and requests late", |w| {
+            w.weather = Weather {
+                lost: 0.03,
+                late: 0.03,
+            };
+            w.run(90.0);
+            w.weather = Weather::default();
+        }),
+    ];
+    for (name, trouble) in cases {
+        let mut world = World::new(7);
+        jobs(&mut world);
+        trouble(&mut world);
+        world.run(200.0);
+        assert_eq!(world.broken, Vec::<String>::new(), "{name}");
+        assert_eq!(world.unfinished(), Vec::<&str>::new(), "{name}");
+        assert!(world.starts >= 24, "{name}: {} starts", world.starts);
+        assert!(
+            world.machines() < 12,
+            "{name}: idle machines are given back"
+        );
+    }
+}
+
+/// Many short days with all kinds of trouble at once; the seeds are fixed.
+#[test]
+fn storms() {
+    for seed in 0..40 {
+        let mut world = World::new(seed);
+        jobs(&mut world);
+        world.weather = Weather {
+            lost: 0.02,
+            late: 0.02,
+        };
+        let shift = (seed % 10) as f64;
+        world.crash((seed % 3) as usize, 14.0 + shift, 14.3 + shift * 0.7);
+        world.crash(((seed + 1) % 3) as usize, 33.0 + shift, 38.0 + shift);
+        if seed % 2 == 0 {
+            world.outage(28.0 + shift, 36.0 + 2.0 * shift);
+        }
+        for i in 0..5 {
+            world.run(15.0 + 12.0 * f64::from(i) + shift);
+            world.cut_machine((seed % 4) as usize + i as usize, 3.0 + 4.0 * f64::from(i));
+            if i % 2 == 1 {
+                world.take_machine();
+            }
+        }
+        world.weather = Weather::default();
+        world.run(260.0);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<&str>::new(), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/tests/scheduler.rs
@@ -0,0 +1,297 @@
+//! Placement, quotas and preemption, as tables.
+
+mod common;
+
+use cedarladder::bookkeeping::hosts::{Host, Hosts};
+use cedarladder::bookkeeping::jobs::Jobs;
+use cedarladder::bookkeeping::quotas::Quotas;
+use cedarladder::coordination::scheduler::{Pass, Plan};
+use cedarladder::protocol::job::{JobSpec, Rank, Shape};
+use common::{binding, flavor, host, job, spec, task, team};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+struct Scene {
+    jobs: Jobs,
+    hosts: Hosts,
+    quotas: Quotas,
+}
+
+impl Scene {
+    fn new(hosts: Vec<Host>, jobs: Vec<JobSpec>) -> Scene {
+        let mut scene = Scene {
+            jobs: Jobs::default(),
+            hosts: Hosts::default(),
+            quotas: Quotas::new(&[team("t", 4.0, 12.0), team("u", 8.0, 0.0)]),
+        };
+        for h in hosts {
+            let name = h.name.clone();
+            scene.hosts.entry(&name, || h);
+        }
+        for spec in jobs {
+            scene.jobs.insert(job(spec));
+        }
+        scene
+    }
+
+    /// Binds a task that runs since some time.
+    fn bind(mut self, name: &str, id: &str, index: u32, since: f64) -> Scene {
+        let job = self.jobs.get_mut(id).unwrap();
+        let host = self.hosts.get_mut(name).unwrap();
+        let mut b = binding(&job.spec, 1);
+        b.running = Some(since);
+        self.quotas.take(&job.spec.team, job.spec.cpus, 0.0);
+        job.bind(index, name, &host.zone);
+        host.bindings.insert(task(id, index), b);
+        self
+    }
+
+    fn run(&self) -> Plan {
+        let flavors = [flavor("f")];
+        let pass = Pass::new(&self.jobs, &self.hosts, &flavors, &self.quotas, 64, 100.0);
+        pass.run(&mut SmallRng::seed_from_u64(1))
+    }
+}
+
+fn with(id: &str, tasks: u32, change: impl Fn(&mut JobSpec)) -> JobSpec {
+    let mut s = spec(id, tasks);
+    change(&mut s);
+    s
+}
+
+/// (name, scene, hosts of the binds in order, halted tasks, tasks without room)
+type Case = (
+    &'static str,
+    Scene,
+    Vec<&'static str>,
+    Vec<&'static str>,
+    u32,
+);
+
+#[test]
+fn placement() {
+    let ordinary = || vec![host("o-a", "a", false), host("o-b", "b", false)];
+    let all = || {
+        let mut hosts = ordinary();
+        hosts.push(host("s-a", "a", true));
+        hosts
+    };
+    let mut warned = host("s-a", "a", true);
+    warned.taken_at = Some(110.0);
+    let mut faulty = host("o-a", "a", false);
+    faulty.errors = 3;
+    let mut silent = host("o-a", "a", false);
+    silent.acked = false;
+    let cases: Vec<Case> = vec![
+        (
+            "spot first",
+            Scene::new(all(), vec![spec("j-1", 2)]),
+            vec!["s-a", "s-a"],
+            vec![],
+            0,
+        ),
+        (
+            "no spot for those who may not",
+            Scene::new(all(), vec![with("j-1", 1, |s| s.spot = false)]),
+            vec!["o-a"],
+            vec![],
+            0,
+        ),
+        (
+            "the only allowed zone",
+            Scene::new(all(), vec![with("j-1", 1, |s| s.zone = Some("b".into()))]),
+            vec!["o-b"],
+            vec![],
+            0,
+        ),
+        (
+            "a type that nobody has",
+            Scene::new(
+                all(),
+                vec![with("j-1", 1, |s| s.flavors = Some(vec!["x".into()]))],
+            ),
+            vec![],
+            vec![],
+            1,
+        ),
+        (
+            "spread: at most half, rounded up, in a zone",
+            Scene::new(
+                vec![host("o-a", "a", false)],
+                vec![with("j-1", 5, |s| {
+                    s.spread = true;
+                    s.cpus = 1.0;
+                })],
+            ),
+            vec!["o-a", "o-a", "o-a"],
+            vec![],
+            2,
+        ),
+        (
+            "one zone: the one with more room, and only that",
+            Scene::new(
+                ordinary(),
+                vec![with("j-1", 6, |s| s.one_zone = true), spec("j-2", 1)],
+            )
+            .bind("o-a", "j-2", 0, 0.0),
+            vec!["o-b", "o-b", "o-b", "o-b"],
+            vec![],
+            1,
+        ),
+        (
+            "the team's limit counts what is bound and what is placed",
+            Scene::new(
+                vec![host("o-a", "a", false), host("o-b", "b", false)],
+                vec![spec("j-1", 5), spec("j-2", 9)],
+            )
+            .bind("o-a", "j-1", 0, 0.0),
+            vec!["o-a", "o-a", "o-a", "o-b", "o-b"],
+            vec![],
+            0,
+        ),
+        (
+            "a machine about to be taken, a faulty one and one without this Epoch get nothing",
+            Scene::new(vec![warned], vec![spec("j-1", 1)]),
+            vec![],
+            vec![],
+            1,
+        ),
+        (
+            "faulty",
+            Scene::new(vec![faulty], vec![spec("j-1", 1)]),
+            vec![],
+            vec![],
+            1,
+        ),
+        (
+            "not heard",
+            Scene::new(vec![silent], vec![spec("j-1", 1)]),
+            vec![],
+            vec![],
+            1,
+        ),
+        (
+            "a group goes together or not at all",
+            Scene::new(
+                vec![host("o-a", "a", false)],
+                vec![with("j-1", 5, |s| s.shape = Shape::Group)],
+            ),
+            vec![],
+            vec![],
+            5,
+        ),
+        (
+            "higher priority stops the task that loses least",
+            Scene::new(
+                vec![host("o-a", "a", false)],
+                vec![
+                    with("j-1", 4, |s| s.team = "u".into()),
+                    with("j-2", 1, |s| s.rank = Rank::Urgent),
+                ],
+            )
+            .bind("o-a", "j-1", 0, 10.0)
+            .bind("o-a", "j-1", 1, 90.0)
+            .bind("o-a", "j-1", 2, 50.0)
+            .bind("o-a", "j-1", 3, 20.0),
+            vec![],
+            vec!["j-1/1"],
+            0,
+        ),
+        (
+            "the same priority stops nothing",
+            Scene::new(
+                vec![host("o-a", "a", false)],
+                vec![
+                    with("j-1", 4, |s| s.team = "u".into()),
+                    with("j-2", 1, |s| s.team = "u".into()),
+                ],
+            )
+            .bind("o-a", "j-1", 0, 10.0)
+            .bind("o-a", "j-1", 1, 90.0)
+            .bind("o-a", "j-1", 2, 50.0)
+            .bind("o-a", "j-1", 3, 20.0),
+            vec![],
+            vec![],
+            1,
+        ),
+        (
+            "a guarantee stops what another team has borrowed",
+            Scene::new(
+                vec![host("o-a", "a", false)],
+                vec![spec("j-1", 4), with("j-2", 1, |s| s.team = "u".into())],
+            )
+            .bind("o-a", "j-1", 0, 10.0)
+            .bind("o-a", "j-1", 1, 90.0)
+            .bind("o-a", "j-1", 2, 50.0)
+            .bind("o-a", "j-1", 3, 20.0),
+            vec![],
+            vec!["j-1/1"],
+            0,
+        ),
+    ];
+    for (name, scene, binds, halts, unplaced) in cases {
+        let plan = scene.run();
+        let got: Vec<&str> = plan.binds.iter().map(|(_, host)| host.as_str()).collect();
+        assert_eq!(got, binds, "{name}");
+        let got: Vec<String> = plan
+            .halts
+            .iter()
+            .map(|(_, task)| task.to_string())
+            .collect();
+        assert_eq!(got, halts, "{name}");
+        let got: u32 = plan.unplaced.iter().map(|u| u.count).sum();
+        assert_eq!(got, unplaced, "{name}");
+    }
+}
+
+/// With many machines a pass looks at a sample of them, and still places.
+#[test]
+fn samples() {
+    let hosts = (0..2000)
+        .map(|i| host(&format!("h-{i:05}"), "a", false))
+        .collect();
+    let jobs = (0..300)
+        .map(|i| with(&format!("j-{i}"), 50, |s| s.team = "u".into()))
+        .collect();
+    let plan = Scene::new(hosts, jobs).run();
+    assert_eq!(plan.binds.len(), 128, "bounded work in one pass");
+}
+
+#[test]
+fn limits() {
+    let quotas = Quotas::new(&[team("t", 4.0, 12.0), team("u", 0.0, 0.0)]);
+    let cases = [
+        (
+            "unknown team",
+            with("j-1", 1, |s| s.team = "x".into()),
+            false,
+        ),
+        (
+            "a task of an array",
+            with("j-1", 100, |s| s.cpus = 12.0),
+            true,
+        ),
+        ("a task too large", with("j-1", 1, |s| s.cpus = 12.5), false),
+        (
+            "all replicas together",
+            with("j-1", 7, |s| s.shape = Shape::Standing),
+            false,
+        ),
+        (
+            "replicas that fit",
+            with("j-1", 6, |s| s.shape = Shape::Standing),
+            true,
+        ),
+        (
+            "no limit",
+            with("j-1", 9, |s| {
+                s.team = "u".into();
+                s.cpus = 1e6;
+            }),
+            true,
+        ),
+    ];
+    for (name, spec, expected) in cases {
+        assert_eq!(quotas.could_run(&spec), expected, "{name}");
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,1125 @@
+//! A small deterministic world for tests: stand-ins for the state service, the cloud, the workers
+//! and the users, written from the protocol, around real controllers. Time is simulated, and all
+//! chance comes from one seed.
+
+use cedarladder::coordination::controller::{Controller, Now};
+use cedarladder::coordination::outbox::Action;
+use cedarladder::policy::Policy;
+use cedarladder::protocol::cbor;
+use cedarladder::protocol::cloud::{CloudCall, CloudReply, Flavor, Machine, MachineStatus};
+use cedarladder::protocol::job::{JobStatus, JobView};
+use cedarladder::protocol::peer::Beat;
+use cedarladder::protocol::state::{Event, Item, StoreCall, StoreReply, Txn, Write};
+use cedarladder::protocol::worker::{
+    Cause, Commands, Redirect, Report, StepReport, StepStatus, Verb, WorkerCall, WorkerReply,
+};
+use cedarladder::settings::Settings;
+use ciborium::Value;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+pub const SETTINGS: &str = include_str!("settings.toml");
+const LEASE_S: f64 = 10.0;
+const CANCEL_S: f64 = 30.0;
+const WALL: f64 = 1_700_000_000.0;
+
+/// What may go wrong, as chances for each message.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Weather {
+    /// A request is carried out but its answer is lost.
+    pub lost: f64,
+    /// A request is carried out long after its sender gave up.
+    pub late: f64,
+}
+
+enum What {
+    Tick(usize, u64),
+    StoreAt(usize, u64, u64, StoreCall),
+    StoreBack(usize, u64, u64, StoreReply),
+    CloudAt(usize, u64, u64, CloudCall),
+    CloudBack(usize, u64, u64, CloudReply),
+    WorkerAt(usize, u64, u64, String, WorkerCall),
+    WorkerBack(usize, u64, u64, WorkerReply),
+    BeatAt(usize, Beat),
+    Wake(String),
+    ReportAt(usize, String, Box<Report>),
+    ReportBack(String, u64, u64, u16, Vec<u8>),
+    User(usize),
+    UserAt(usize, usize, Ask),
+    UserBack(usize, Ask, u16, Vec<u8>),
+    Crash(usize),
+    Restart(usize),
+    Outage(bool),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ask {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    holds: BTreeMap<u64, (f64, f64)>,
+    next_hold: u64,
+    log: Vec<(u64, Event)>,
+    follows: Vec<(usize, u64, u64, String, u64, f64)>,
+    out: bool,
+}
+
+impl Store {
+    fn change(&mut self, writes: &[Write]) -> u64 {
+        self.revision += 1;
+        let stamp = self.revision;
+        for write in writes {
+            match write {
+                Write::Set { key, value, hold } => {
+                    self.keys.insert(key.clone(), (value.clone(), stamp, *hold));
+                    let event = Event::Set {
+                        key: key.clone(),
+                        value: value.clone(),
+                        stamp,
+                    };
+                    self.log.push((stamp, event));
+                }
+                Write::Remove { key } => {
+                    if self.keys.remove(key).is_some() {
+                        self.log.push((
+                            stamp,
+                            Event::Remove {
+                                key: key.clone(),
+                                stamp,
+                            },
+                        ));
+                    }
+                }
+            }
+        }
+        stamp
+    }
+
+    fn txn(&mut self, txn: &Txn) -> StoreReply {
+        for write in &txn.writes {
+            if let Write::Set {
+                hold: Some(hold), ..
+            } = write
+                && !self.holds.contains_key(hold)
+            {
+                return StoreReply::Bad;
+            }
+        }
+        let stamp_of = |key: &String| self.keys.get(key).map_or(0, |(_, stamp, _)| *stamp);
+        let failed: Vec<String> = txn
+            .when
+            .iter()
+            .filter(|c| stamp_of(&c.key) != c.stamp)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StoreReply::Conflict(failed);
+        }
+        if txn.writes.is_empty() {
+            return StoreReply::Committed(self.revision);
+        }
+        StoreReply::Committed(self.change(&txn.writes))
+    }
+
+    fn end_hold(&mut self, hold: u64) {
+        self.holds.remove(&hold);
+        let keys: Vec<Write> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, h))| *h == Some(hold))
+            .map(|(key, _)| Write::remove(key.clone()))
+            .collect();
+        if !keys.is_empty() {
+            self.change(&keys);
+        }
+    }
+
+    fn expire(&mut self, now: f64) {
+        if self.out {
+            return;
+        }
+        let over: Vec<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, (until, _))| now > *until)
+            .map(|(hold, _)| *hold)
+            .collect();
+        for hold in over {
+            self.end_hold(hold);
+        }
+    }
+
+    fn events(&self, under: &str, from: u64) -> Vec<Event> {
+        self.log
+            .iter()
+            .filter(|(stamp, event)| {
+                let (Event::Set { key, .. } | Event::Remove { key, .. }) = event;
+                *stamp > from && key.starts_with(under)
+            })
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+
+    fn call(&mut self, call: &StoreCall, now: f64) -> StoreReply {
+        if self.out {
+            return StoreReply::Refused;
+        }
+        match call {
+            StoreCall::Get(key) => match self.keys.get(key) {
+                Some((value, stamp, hold)) => StoreReply::Found(Item {
+                    key: key.clone(),
+                    value: value.clone(),
+                    stamp: *stamp,
+                    hold: *hold,
+                }),
+                None => StoreReply::Missing,
+            },
+            StoreCall::List { under, from } => {
+                // Pages of three, so that paging is used.
+                let mut items: Vec<Item> = self
+                    .keys
+                    .iter()
+                    .filter(|(key, _)| {
+                        key.starts_with(under.as_str()) && from.as_ref().is_none_or(|f| *key > f)
+                    })
+                    .map(|(key, (value, stamp, hold))| Item {
+                        key: key.clone(),
+                        value: value.clone(),
+                        stamp: *stamp,
+                        hold: *hold,
+                    })
+                    .collect();
+                let more = items.len() > 3;
+                items.truncate(3);
+                StoreReply::Page(items, more, self.revision)
+            }
+            StoreCall::Txn(txn) => self.txn(txn),
+            StoreCall::Grant(life_ms) => {
+                self.next_hold += 1;
+                let life_s = *life_ms as f64 / 1000.0;
+                self.holds.insert(self.next_hold, (now + life_s, life_s));
+                StoreReply::Granted(self.next_hold)
+            }
+            StoreCall::Renew(hold) => match self.holds.get_mut(hold) {
+                Some((until, life_s)) => {
+                    *until = now + *life_s;
+                    StoreReply::Ok
+                }
+                None => StoreReply::Gone,
+            },
+            StoreCall::Drop(hold) => {
+                self.end_hold(*hold);
+                StoreReply::Ok
+            }
+            StoreCall::Follow { .. } => unreachable!("follows are held by the world"),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Task {
+    attempt: u64,
+    status: StepStatus,
+    cause: Option<Cause>,
+    until: f64,
+}
+
+struct Worker {
+    name: String,
+    zone: String,
+    spot: bool,
+    cpus: f64,
+    tenure: u64,
+    tick: u64,
+    epoch: u64,
+    lease_from: f64,
+    tasks: BTreeMap<String, Vec<Task>>,
+    at: usize,
+    sent: Option<(u64, f64)>,
+    next_report: f64,
+    deaf_until: f64,
+}
+
+/// A job as its user sees it.
+pub struct User {
+    pub id: String,
+    pub body: Vec<u8>,
+    pub tasks: u32,
+    pub run_s: f64,
+    pub standing: bool,
+    pub cancel_at: Option<f64>,
+    pub accepted: bool,
+    pub told_cancelled: Option<f64>,
+    pub told_done: bool,
+}
+
+pub struct World {
+    pub now: f64,
+    seq: u64,
+    queue: BTreeMap<(u64, u64), What>,
+    settings: Vec<Rc<Settings>>,
+    nodes: Vec<Option<Controller>>,
+    lives: Vec<u64>,
+    answers: BTreeMap<(usize, u64), What>,
+    next_request: u64,
+    store: Store,
+    rented: BTreeMap<String, Vec<String>>,
+    machines: BTreeMap<String, Machine>,
+    workers: BTreeMap<String, Worker>,
+    next_machine: u32,
+    pub users: Vec<User>,
+    done: BTreeSet<String>,
+    pub weather: Weather,
+    rng: SmallRng,
+    /// Rules broken, in words.
+    pub broken: Vec<String>,
+    pub starts: u32,
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let settings: Vec<Rc<Settings>> = (0..3)
+            .map(|i| {
+                let mut settings = Settings::parse(SETTINGS).expect("settings");
+                let mut nodes = vec![
+                    ("n0", "10.0.0.1:8081"),
+                    ("n1", "10.0.0.2:8081"),
+                    ("n2", "10.0.0.3:8081"),
+                ];
+                settings.label = nodes.remove(i).0.to_owned();
+                for (seed, (label, address)) in settings.seeds.iter_mut().zip(nodes) {
+                    seed.label = label.to_owned();
+                    seed.address = address.parse().expect("address");
+                }
+                Rc::new(settings)
+            })
+            .collect();
+        let mut world = World {
+            now: 0.0,
+            seq: 0,
+            queue: BTreeMap::new(),
+            settings,
+            nodes: vec![None, None, None],
+            lives: vec![0; 3],
+            answers: BTreeMap::new(),
+            next_request: 1,
+            store: Store::default(),
+            rented: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            next_machine: 0,
+            users: Vec::new(),
+            done: BTreeSet::new(),
+            weather: Weather::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            broken: Vec::new(),
+            starts: 0,
+        };
+        for i in 0..3 {
+            world.at(0.0, What::Restart(i));
+        }
+        world
+    }
+
+    fn at(&mut self, time: f64, what: What) {
+        self.seq += 1;
+        let micros = (time.max(self.now) * 1e6) as u64;
+        self.queue.insert((micros, self.seq), what);
+    }
+
+    fn after(&mut self, delay: f64, what: What) {
+        let jitter = self.rng.random::<f64>() * 0.002;
+        self.at(self.now + delay + jitter, what);
+    }
+
+    pub fn crash(&mut self, node: usize, at: f64, back: f64) {
+        self.at(at, What::Crash(node));
+        self.at(back, What::Restart(node));
+    }
+
+    pub fn outage(&mut self, from: f64, to: f64) {
+        self.at(from, What::Outage(true));
+        self.at(to, What::Outage(false));
+    }
+
+    /// Adds a user who submits at a time, polls, and perhaps cancels.
+    pub fn user(
+        &mut self,
+        n: u32,
+        at: f64,
+        (tasks, run_s, standing, spot): (u32, f64, bool, bool),
+        cancel_at: Option<f64>,
+    ) {
+        let text = |s: &str| Value::Text(s.to_owned());
+        let id = format!("j-{n:06}");
+        let fields = vec![
+            ("NameId", text(&id)),
+            ("Jobclass", text("c")),
+            ("Owner", text("t")),
+            ("Shape", text(if standing { "standing" } else { "array" })),
+            ("Rank", text(if standing { "production" } else { "normal" })),
+            ("Steps", Value::from(tasks)),
+            ("Cores", Value::Float(2.0)),
+            ("Gpus", Value::Float(0.0)),
+            ("RamGb", Value::Float(1.0)),
+            ("Flavors", Value::Null),
+            ("OneZone", Value::Bool(false)),
+            ("Spread", Value::Bool(standing)),
+            ("Windfall", Value::Bool(spot)),
+            ("Bundle", text("img")),
+            ("PullGb", Value::Float(0.5)),
+            ("ExpectS", Value::Float(if standing { 0.0 } else { run_s })),
+            ("SnapshotS", Value::Float(0.0)),
+            ("FlushS", Value::Float(0.0)),
+        ];
+        let map = fields.into_iter().map(|(k, v)| (text(k), v)).collect();
+        let index = self.users.len();
+        self.users.push(User {
+            id,
+            body: cbor::encode(&Value::Map(map)),
+            tasks,
+            run_s,
+            standing,
+            cancel_at,
+            accepted: false,
+            told_cancelled: None,
+            told_done: false,
+        });
+        self.at(at, What::User(index));
+    }
+
+    pub fn run(&mut self, until: f64) {
+        while let Some((key, what)) = self.queue.pop_first() {
+            let time = key.0 as f64 / 1e6;
+            if time > until {
+                self.queue.insert(key, what);
+                break;
+            }
+            self.now = time;
+            self.store.expire(time);
+            self.kill_expired();
+            self.step(what);
+            self.answer_follows();
+        }
+        self.now = until;
+    }
+
+    fn clock(&self) -> Now {
+        Now {
+            steady: self.now,
+            wall: WALL + self.now,
+        }
+    }
+
+    fn step(&mut self, what: What) {
+        let now = self.clock();
+        match what {
+            What::Restart(i) => {
+                if self.nodes[i].is_none() {
+                    self.lives[i] += 1;
+                    let life = self.lives[i] * 10 + i as u64;
+                    let settings = self.settings[i].clone();
+                    let policy = Rc::new(Policy::built_in(&settings));
+                    self.nodes[i] = Some(Controller::new(settings, policy, life));
+                    self.after(0.01, What::Tick(i, self.lives[i]));
+                }
+            }
+            What::Crash(i) => {
+                self.nodes[i] = None;
+                self.lives[i] += 1;
+                self.store.follows.retain(|f| f.0 != i);
+                let waiting: Vec<_> = self.answers.keys().filter(|k| k.0 == i).copied().collect();
+                for key in waiting {
+                    // The connection is reset: users and workers come again.
+                    if let Some(What::UserBack(user, ask, ..)) = self.answers.remove(&key) {
+                        self.after(0.01, What::UserBack(user, ask, 599, Vec::new()));
+                    }
+                }
+            }
+            What::Outage(out) => {
+                self.store.out = out;
+                if !out {
+                    for (until, life_s) in self.store.holds.values_mut() {
+                        *until = self.now + *life_s;
+                    }
+                }
+            }
+            What::Tick(i, life) => {
+                if self.lives[i] == life && self.nodes[i].is_some() {
+                    self.with(i, |node| node.tick(now));
+                    self.after(0.05, What::Tick(i, life));
+                }
+            }
+            What::StoreAt(i, life, tag, call) => self.store_call(i, life, tag, call),
+            What::StoreBack(i, life, tag, reply) => {
+                if self.lives[i] == life {
+                    self.with(i, |node| node.store_reply(tag, reply, now));
+                }
+            }
+            What::CloudAt(i, life, tag, call) => {
+                let reply = self.cloud_call(&call);
+                self.after(0.1, What::CloudBack(i, life, tag, reply));
+            }
+            What::CloudBack(i, life, tag, reply) => {
+                if self.lives[i] == life {
+                    self.with(i, |node| node.cloud_reply(tag, reply, now));
+                }
+            }
+            What::WorkerAt(i, life, tag, host, call) => {
+                self.worker_call(i, life, tag, &host, &call)
+            }
+            What::WorkerBack(i, life, tag, reply) => {
+                if self.lives[i] == life {
+                    self.with(i, |node| node.worker_reply(tag, reply, now));
+                }
+            }
+            What::BeatAt(i, beat) => self.with(i, |node| node.beat(beat, now)),
+            What::Wake(name) => self.wake(&name),
+            What::ReportAt(i, name, report) => {
+                let back = What::ReportBack(name, report.tenure, report.tick, 0, Vec::new());
+                let body = cbor::encode(&*report);
+                self.request(i, back, "POST", "/v1/report", &body);
+            }
+            What::ReportBack(name, tenure, tick, status, body) => {
+                self.report_answered(&name, (tenure, tick), status, &body);
+            }
+            What::User(user) => self.user_acts(user),
+            What::UserAt(i, user, ask) => {
+                let (path, body) = match ask {
+                    Ask::Submit => ("/work".to_owned(), self.users[user].body.clone()),
+                    Ask::Poll => (format!("/work/{}", self.users[user].id), Vec::new()),
+                    Ask::Cancel => (format!("/work/{}/cancel", self.users[user].id), Vec::new()),
+                };
+                let method = if ask == Ask::Poll { "GET" } else { "POST" };
+                let back = What::UserBack(user, ask, 0, Vec::new());
+                self.request(i, back, method, &path, &body);
+            }
+            What::UserBack(user, ask, status, body) => self.user_told(user, ask, status, &body),
+        }
+    }
+
+    fn request(&mut self, i: usize, back: What, method: &str, path: &str, body: &[u8]) {
+        let now = self.clock();
+        if self.nodes[i].is_none() {
+            if let What::UserBack(user, ask, ..) = back {
+                self.after(0.01, What::UserBack(user, ask, 599, Vec::new()));
+            }
+            return;
+        }
+        let request = self.next_request;
+        self.next_request += 1;
+        self.answers.insert((i, request), back);
+        self.with(i, |node| node.request(request, method, path, body, now));
+    }
+
+    /// Lets a node act, and carries out what it wants.
+    fn with(&mut self, i: usize, act: impl FnOnce(&mut Controller)) {
+        let Some(node) = &mut self.nodes[i] else {
+            return;
+        };
+        act(node);
+        let life = self.lives[i];
+        for action in node.take_actions() {
+            match action {
+                Action::Answer {
+                    to, status, body, ..
+                } => {
+                    let answered = match self.answers.remove(&(i, to)) {
+                        Some(What::ReportBack(name, tenure, tick, ..)) => {
+                            What::ReportBack(name, tenure, tick, status, body)
+                        }
+                        Some(What::UserBack(user, ask, ..)) => {
+                            What::UserBack(user, ask, status, body)
+                        }
+                        _ => continue,
+                    };
+                    self.deliver(0.001, answered);
+                }
+                Action::Store {
+                    tag,
+                    call,
+                    within_s,
+                } => {
+                    let silent = What::StoreBack(i, life, tag, StoreReply::Silent);
+                    self.after(within_s, silent);
+                    self.send(What::StoreAt(i, life, tag, call));
+                }
+                Action::Cloud {
+                    tag,
+                    call,
+                    within_s,
+                } => {
+                    let silent = What::CloudBack(i, life, tag, CloudReply::Silent);
+                    self.after(within_s, silent);
+                    self.send(What::CloudAt(i, life, tag, call));
+                }
+                Action::Worker {
+                    tag,
+                    endpoint,
+                    call,
+                    within_s,
+                } => {
+                    let silent = What::WorkerBack(i, life, tag, WorkerReply::Silent);
+                    self.after(within_s, silent);
+                    self.send(What::WorkerAt(i, life, tag, endpoint, call));
+                }
+                Action::Beat(beat) => {
+                    for peer in (0..3).filter(|peer| *peer != i) {
+                        self.after(0.001, What::BeatAt(peer, beat.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// A request on its way: usually soon there, at times long after its sender gave up.
+    fn send(&mut self, what: What) {
+        let late = self.rng.random::<f64>() < self.weather.late;
+        let delay = if late {
+            2.0 + self.rng.random::<f64>() * 20.0
+        } else {
+            0.003
+        };
+        self.after(delay, what);
+    }
+
+    /// An answer on its way, which may get lost.
+    fn deliver(&mut self, delay: f64, what: What) {
+        if self.rng.random::<f64>() >= self.weather.lost {
+            self.after(delay, what);
+        } else if let What::UserBack(user, ask, ..) = what {
+            self.after(5.0, What::UserBack(user, ask, 599, Vec::new()));
+        }
+    }
+
+    fn store_call(&mut self, i: usize, life: u64, tag: u64, call: StoreCall) {
+        if let StoreCall::Follow {
+            under,
+            from,
+            wait_ms,
+        } = call
+        {
+            if self.lives[i] == life {
+                let until = self.now + wait_ms as f64 / 1000.0;
+                self.store.follows.push((i, life, tag, under, from, until));
+            }
+            return;
+        }
+        let reply = self.store.call(&call, self.now);
+        self.deliver(0.003, What::StoreBack(i, life, tag, reply));
+    }
+
+    fn answer_follows(&mut self) {
+        if self.store.out {
+            return;
+        }
+        let mut kept = Vec::new();
+        for follow in std::mem::take(&mut self.store.follows) {
+            let (i, life, tag, under, from, until) = &follow;
+            let events = self.store.events(under, *from);
+            if events.is_empty() && self.now < *until {
+                kept.push(follow);
+            } else {
+                let reply = StoreReply::Events(events, self.store.revision);
+                self.after(0.003, What::StoreBack(*i, *life, *tag, reply));
+            }
+        }
+        self.store.follows = kept;
+    }
+
+    fn cloud_call(&mut self, call: &CloudCall) -> CloudReply {
+        match call {
+            CloudCall::Types => CloudReply::Types(vec![Flavor {
+                name: "f".into(),
+                cpus: 8.0,
+                gpus: 0.0,
+                ram: 32.0,
+                cache_gb: 10.0,
+                pull_gb_s: 1.0,
+                hourly: 1.0,
+                market_price: Some(0.3),
+                ready_s: 5.0,
+                zones: vec!["a".into(), "b".into()],
+            }]),
+            CloudCall::Rent(rental) => {
+                if let Some(names) = self.rented.get(&rental.bid) {
+                    return CloudReply::Rented(names.clone());
+                }
+                let alike = |m: &&Machine| m.zone == rental.zone && m.spot == rental.spot;
+                let there = self.machines.values().filter(alike).count() as u32;
+                let count = rental.count.min(3u32.saturating_sub(there));
+                if count == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let mut names = Vec::new();
+                for _ in 0..count {
+                    let name = format!("host-{:06}", self.next_machine);
+                    self.next_machine += 1;
+                    self.machines.insert(
+                        name.clone(),
+                        Machine {
+                            name: name.clone(),
+                            endpoint: name.clone(),
+                            flavor: rental.flavor.clone(),
+                            zone: rental.zone.clone(),
+                            spot: rental.spot,
+                            status: MachineStatus::Starting,
+                            age_s: self.now,
+                        },
+                    );
+                    let boot = 3.0 + self.rng.random::<f64>() * 4.0;
+                    self.after(boot, What::Wake(name.clone()));
+                    names.push(name);
+                }
+                self.rented.insert(rental.bid.clone(), names.clone());
+                CloudReply::Rented(names)
+            }
+            CloudCall::Delete(names) => {
+                for name in names {
+                    self.machines.remove(name);
+                    self.workers.remove(name);
+                }
+                CloudReply::Deleted
+            }
+            CloudCall::List(from) => {
+                let machines = self
+                    .machines
+                    .values()
+                    .filter(|m| from.as_ref().is_none_or(|from| m.name > *from))
+                    .map(|m| Machine {
+                        age_s: self.now - m.age_s,
+                        ..m.clone()
+                    })
+                    .collect();
+                CloudReply::Page(machines, false)
+            }
+        }
+    }
+
+    /// Takes a machine away, as the cloud does with spot machines. False: there is none.
+    pub fn take_machine(&mut self) -> bool {
+        let Some(name) = self.workers.keys().next().cloned() else {
+            return false;
+        };
+        self.machines.remove(&name);
+        self.workers.remove(&name);
+        true
+    }
+
+    /// Makes a machine deaf and mute for a while.
+    pub fn cut_machine(&mut self, nth: usize, for_s: f64) {
+        let until = self.now + for_s;
+        if let Some(worker) = self.workers.values_mut().nth(nth) {
+            worker.deaf_until = until;
+        }
+    }
+
+    fn wake(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.status == MachineStatus::Starting {
+            machine.status = MachineStatus::Running;
+            let worker = Worker {
+                name: name.to_owned(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                cpus: 8.0,
+                tenure: 1,
+                tick: 0,
+                epoch: 0,
+                lease_from: self.now,
+                tasks: BTreeMap::new(),
+                at: self.rng.random_range(0..3),
+                sent: None,
+                next_report: self.now,
+                deaf_until: 0.0,
+            };
+            self.workers.insert(name.to_owned(), worker);
+        }
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for tasks in worker.tasks.values_mut() {
+            for task in tasks.iter_mut() {
+                if task.status == StepStatus::Running && now >= task.until {
+                    task.status = StepStatus::Exited;
+                    task.cause = Some(Cause::Done);
+                    worker.next_report = now;
+                }
+            }
+        }
+        for (step, tasks) in &worker.tasks {
+            if tasks.iter().any(|t| t.cause == Some(Cause::Done)) {
+                self.done.insert(step.clone());
+            }
+        }
+        if worker.sent.is_some_and(|(_, at)| now - at > 4.0) {
+            worker.sent = None;
+            worker.at = (worker.at + 1) % 3;
+            worker.next_report = now + 1.0;
+        }
+        if worker.sent.is_none() && now >= worker.next_report {
+            let report = worker.report();
+            worker.sent = Some((report.tick, now));
+            let (at, deaf) = (worker.at, now < worker.deaf_until);
+            if !deaf {
+                self.after(0.003, What::ReportAt(at, name.to_owned(), Box::new(report)));
+            }
+        }
+        self.after(0.25, What::Wake(name.to_owned()));
+    }
+
+    fn report_answered(&mut self, name: &str, key: (u64, u64), status: u16, body: &[u8]) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some((tick, sent_at)) = worker.sent else {
+            return;
+        };
+        if (worker.tenure, tick) != key || now < worker.deaf_until {
+            return;
+        }
+        worker.sent = None;
+        worker.next_report = now + 2.0;
+        match status {
+            200 => {
+                let commands: Commands = cbor::decode(body).expect("an answer to a report");
+                if commands.epoch < worker.epoch {
+                    return;
+                }
+                if commands.epoch > worker.epoch {
+                    worker.next_report = now + 0.5;
+                }
+                worker.epoch = commands.epoch;
+                worker.lease_from = sent_at;
+                self.execute(name, &commands);
+            }
+            421 => {
+                let redirect: Redirect = cbor::decode(body).expect("a redirect");
+                match redirect
+                    .foreman
+                    .as_deref()
+                    .map(|label| label[1..].parse::<usize>())
+                {
+                    Some(Ok(node)) if node != worker.at => {
+                        worker.at = node;
+                        worker.next_report = now;
+                    }
+                    _ => {
+                        worker.at = (worker.at + 1) % 3;
+                        worker.next_report = now + 1.0;
+                    }
+                }
+            }
+            _ => {
+                worker.at = (worker.at + 1) % 3;
+                worker.next_report = now + 1.0;
+            }
+        }
+    }
+
+    fn worker_call(&mut self, i: usize, life: u64, tag: u64, host: &str, call: &WorkerCall) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(host) else {
+            return;
+        };
+        if now < worker.deaf_until {
+            // Held, and delivered after the interruption.
+            let again = What::WorkerAt(i, life, tag, host.to_owned(), call.clone());
+            let until = worker.deaf_until;
+            self.at(until, again);
+            return;
+        }
+        let reply = match call {
+            WorkerCall::Show => WorkerReply::Done(Box::new(worker.report())),
+            WorkerCall::Commands(commands) => {
+                if commands.epoch < worker.epoch || commands.tenure != Some(worker.tenure) {
+                    WorkerReply::Mismatch(Box::new(worker.report()))
+                } else {
+                    if commands.epoch > worker.epoch {
+                        worker.next_report = now;
+                    }
+                    worker.epoch = commands.epoch;
+                    let commands = commands.clone();
+                    self.execute(host, &commands);
+                    let worker = self.workers.get_mut(host).expect("still there");
+                    WorkerReply::Done(Box::new(worker.report()))
+                }
+            }
+        };
+        self.deliver(0.003, What::WorkerBack(i, life, tag, reply));
+    }
+
+    fn execute(&mut self, name: &str, commands: &Commands) {
+        for order in &commands.orders {
+            match order.verb {
+                Verb::Start => self.start(name, &order.step, order.attempt),
+                Verb::Halt => {
+                    let worker = self.workers.get_mut(name).expect("a worker");
+                    for task in worker.tasks.get_mut(&order.step).into_iter().flatten() {
+                        if task.attempt == order.attempt && task.status == StepStatus::Running {
+                            task.status = StepStatus::Exited;
+                            task.cause = Some(Cause::Stopped);
+                        }
+                    }
+                }
+                Verb::Clear => {
+                    let worker = self.workers.get_mut(name).expect("a worker");
+                    if let Some(tasks) = worker.tasks.get_mut(&order.step) {
+                        tasks.retain(|t| {
+                            t.attempt != order.attempt || t.status != StepStatus::Exited
+                        });
+                        if tasks.is_empty() {
+                            worker.tasks.remove(&order.step);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, name: &str, step: &str, attempt: u64) {
+        let now = self.now;
+        let job = step.split('/').next().unwrap_or("").to_owned();
+        let Some(user) = self.users.iter().find(|u| u.id == job) else {
+            self.broken.push(format!("{step}: no such job"));
+            return;
+        };
+        let (run_s, standing) = (user.run_s, user.standing);
+        if user.told_cancelled.is_some_and(|at| now > at + CANCEL_S) {
+            self.broken
+                .push(format!("{now}: {step} starts after its cancellation"));
+        }
+        let limit = user.tasks.div_ceil(2);
+        let worker = &self.workers[name];
+        let tasks = worker.tasks.get(step).cloned().unwrap_or_default();
+        if tasks.iter().any(|t| t.attempt == attempt) {
+            return;
+        }
+        let busy = tasks.iter().any(|t| t.status == StepStatus::Running);
+        let used = worker.running().count() as f64 * 2.0;
+        let full = used + 2.0 > worker.cpus;
+        let zone = worker.zone.clone();
+        let refused = if busy {
+            Some(Cause::Busy)
+        } else if full {
+            Some(Cause::Full)
+        } else {
+            None
+        };
+        if refused.is_none() {
+            self.starts += 1;
+            let elsewhere: Vec<&Worker> = self
+                .workers
+                .values()
+                .filter(|w| w.name != name && w.running().any(|(s, _)| s == step))
+                .collect();
+            if let Some(other) = elsewhere.first() {
+                self.broken.push(format!(
+                    "{now}: {step} starts on {name} while on {}",
+                    other.name
+                ));
+            }
+            let in_zone = self
+                .workers
+                .values()
+                .filter(|w| w.zone == zone)
+                .flat_map(|w| w.running())
+                .filter(|(s, _)| s.split('/').next() == Some(job.as_str()))
+                .count() as u32;
+            if standing && in_zone >= limit {
+                self.broken
+                    .push(format!("{now}: {step} is one too many in {zone}"));
+            }
+            let all = self.workers.values().flat_map(|w| w.running()).count() as f64;
+            if 2.0 * (all + 1.0) > 40.0 {
+                self.broken
+                    .push(format!("{now}: {step} is over the team's limit"));
+            }
+        }
+        let until = if standing { f64::INFINITY } else { now + run_s };
+        let status = if refused.is_some() {
+            StepStatus::Exited
+        } else {
+            StepStatus::Running
+        };
+        let worker = self.workers.get_mut(name).expect("a worker");
+        worker.next_report = worker.next_report.min(now + 0.5);
+        worker.tasks.entry(step.to_owned()).or_default().push(Task {
+            attempt,
+            status,
+            cause: refused,
+            until,
+        });
+    }
+
+    /// Ends the sessions whose lease is over, and watches the cancelled.
+    fn kill_expired(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            if now > worker.lease_from + LEASE_S {
+                worker.tasks.clear();
+                worker.tenure += 1;
+                worker.lease_from = now;
+                worker.sent = None;
+                worker.next_report = now;
+            }
+        }
+        for user in &mut self.users {
+            if let Some(at) = user.told_cancelled
+                && now > at + CANCEL_S
+            {
+                let there = |w: &Worker| w.running().any(|(s, _)| s.starts_with(&user.id));
+                if self.workers.values().any(there) {
+                    self.broken
+                        .push(format!("{now}: {} runs after its cancellation", user.id));
+                    user.told_cancelled = Some(f64::INFINITY);
+                }
+            }
+        }
+    }
+
+    fn user_acts(&mut self, user: usize) {
+        let u = &self.users[user];
+        let ask = if !u.accepted {
+            Ask::Submit
+        } else if u.cancel_at.is_some_and(|at| self.now >= at) && u.told_cancelled.is_none() {
+            Ask::Cancel
+        } else {
+            Ask::Poll
+        };
+        let node = self.rng.random_range(0..3);
+        self.after(0.002, What::UserAt(node, user, ask));
+    }
+
+    fn user_told(&mut self, user: usize, ask: Ask, status: u16, body: &[u8]) {
+        let now = self.now;
+        let all_done = |done: &BTreeSet<String>, u: &User| {
+            (0..u.tasks).all(|n| done.contains(&format!("{}/{n}", u.id)))
+        };
+        let u = &mut self.users[user];
+        match status {
+            200 | 201 => {
+                u.accepted = true;
+                let told: JobStatus = match ask {
+                    Ask::Poll => cbor::decode::<JobView>(body).expect("a view").status,
+                    _ => {
+                        let answer: cedarladder::protocol::job::Accepted =
+                            cbor::decode(body).expect("an answer");
+                        answer.status
+                    }
+                };
+                let before = (u.told_cancelled.is_some(), u.told_done);
+                match told {
+                    JobStatus::Done => {
+                        if !all_done(&self.done, u) {
+                            self.broken.push(format!("{now}: {} is not done", u.id));
+                        }
+                        u.told_done = true;
+                    }
+                    JobStatus::Aborted => {
+                        if u.cancel_at.is_none() {
+                            self.broken
+                                .push(format!("{now}: nobody cancelled {}", u.id));
+                        }
+                        u.told_cancelled.get_or_insert(now);
+                    }
+                    _ => {}
+                }
+                let back = match before {
+                    (true, _) => told != JobStatus::Aborted,
+                    (_, true) => told != JobStatus::Done,
+                    _ => false,
+                };
+                if back {
+                    self.broken
+                        .push(format!("{now}: {} went back to {told:?}", u.id));
+                }
+            }
+            404 if u.accepted => self.broken.push(format!("{now}: {} is forgotten", u.id)),
+            400 | 422 => self
+                .broken
+                .push(format!("{now}: {} is refused: {status}", u.id)),
+            _ => {}
+        }
+        let pause = if status == 200 || status == 201 {
+            3.0
+        } else {
+            1.0
+        };
+        self.after(pause, What::User(user));
+    }
+
+    /// Users whose job has not come to its end.
+    pub fn unfinished(&self) -> Vec<&str> {
+        self.users
+            .iter()
+            .filter(|u| {
+                let over = u.told_done || u.told_cancelled.is_some();
+                let serves = u.standing && u.cancel_at.is_none() && {
+                    let on = self
+                        .workers
+                        .values()
+                        .flat_map(|w| w.running())
+                        .filter(|(s, _)| s.split('/').next() == Some(u.id.as_str()));
+                    on.count() as u32 == u.tasks
+                };
+                !over && !serves
+            })
+            .map(|u| u.id.as_str())
+            .collect()
+    }
+
+    pub fn machines(&self) -> usize {
+        self.machines.len()
+    }
+}
+
+impl Worker {
+    fn running(&self) -> impl Iterator<Item = (&str, &Task)> {
+        self.tasks.iter().flat_map(|(step, tasks)| {
+            tasks
+                .iter()
+                .filter(|t| t.status != StepStatus::Exited)
+                .map(move |t| (step.as_str(), t))
+        })
+    }
+
+    fn report(&mut self) -> Report {
+        self.tick += 1;
+        Report {
+            host: self.name.clone(),
+            endpoint: self.name.clone(),
+            flavor: "f".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            tenure: self.tenure,
+            tick: self.tick,
+            epoch: self.epoch,
+            warning_s: None,
+            steps: self
+                .tasks
+                .iter()
+                .flat_map(|(step, tasks)| {
+                    tasks.iter().map(|t| StepReport {
+                        step: step.clone(),
+                        attempt: t.attempt,
+                        status: t.status,
+                        cause: t.cause,
+                    })
+                })
+                .collect(),
+        }
+    }
+}
