--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -1,6 +1,5 @@
 //! Hosts, the tasks bound to them and what their workers say.
 
-use super::records::{BoundTask, HostRecord};
 use crate::protocol::cloud::Flavor;
 use crate::protocol::worker::{Order, Report, StepReport, StepStatus, TaskId, Verb};
 use std::collections::BTreeMap;
@@ -136,10 +135,6 @@
     pub spot: bool,
     /// Worker's address; empty while unknown.
     pub endpoint: String,
-    /// Version of its key; 0: there is none.
-    pub stamp: u64,
-    /// The record that the state service has.
-    pub durable: HostRecord,
     /// Nothing may be placed here any more.
     pub returning: bool,
     /// Marked in the state service as returning, so that the delete may be sent.
@@ -156,6 +151,9 @@
     pub lease_from: f64,
     /// When its worker was last heard.
     pub heard: Option<f64>,
+    /// Since when the latest direct call has had no answer, or a lost session none yet: reports may
+    /// arrive from a machine that no answer or command reaches.
+    pub unreached: Option<f64>,
     /// When the cloud takes it away.
     pub taken_at: Option<f64>,
     /// Bound tasks.
@@ -188,8 +186,6 @@
             zone: zone.to_owned(),
             spot,
             endpoint: String::new(),
-            stamp: 0,
-            durable: HostRecord::default(),
             returning: false,
             marked: false,
             tenure: 0,
@@ -198,6 +194,7 @@
             steps: BTreeMap::new(),
             lease_from: now,
             heard: None,
+            unreached: None,
             taken_at: None,
             bindings: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -210,30 +207,6 @@
         }
     }
 
-    /// The record to write for the present bindings: the durable one without its tasks.
-    pub fn blank_record(&self) -> HostRecord {
-        HostRecord {
-            flavor: self.flavor.clone(),
-            zone: self.zone.clone(),
-            spot: self.spot,
-            endpoint: self.endpoint.clone(),
-            returning: self.marked,
-            steps: Vec::new(),
-        }
-    }
-
-    /// The record's form of a binding.
-    pub fn bound_task(task: &TaskId, binding: &Binding) -> BoundTask {
-        BoundTask {
-            job: task.job.clone(),
-            index: task.index,
-            attempt: binding.attempt,
-            tenure: binding.tenure,
-            team: binding.team.clone(),
-            need: [binding.need.cpus, binding.need.gpus, binding.need.ram],
-        }
-    }
-
     /// What all bindings take.
     pub fn used(&self) -> Room {
         self.bindings
@@ -251,7 +224,11 @@
 
     /// Whether tasks may be placed here.
     pub fn usable(&self) -> bool {
-        self.acked && !self.returning && self.taken_at.is_none() && self.heard.is_some()
+        self.acked
+            && !self.returning
+            && self.unreached.is_none()
+            && self.taken_at.is_none()
+            && self.heard.is_some()
     }
 
     /// Whether a report is newer than all seen.
--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -64,8 +64,10 @@
     pub bound: BTreeMap<u32, Vec<String>>,
     /// Tasks bound in each zone.
     pub zones: HashMap<String, u32>,
-    /// Versions of its progress keys.
-    pub progress_stamps: BTreeMap<u32, u64>,
+    /// Bound tasks that are complete already.
+    bound_done: u32,
+    /// Bound tasks that have been seen running.
+    pub running: u32,
     /// Its ending is on the way.
     pub ending: bool,
     /// Failures in a row.
@@ -91,7 +93,8 @@
             done: TaskSet::new(tasks),
             bound: BTreeMap::new(),
             zones: HashMap::new(),
-            progress_stamps: BTreeMap::new(),
+            bound_done: 0,
+            running: 0,
             ending: false,
             errors: 0,
             group_attempt: None,
@@ -119,17 +122,30 @@
         if self.ending {
             return 0;
         }
-        let bound = self
-            .bound
-            .keys()
-            .filter(|index| !self.done.contains(**index))
-            .count() as u32;
+        let bound = self.bound.len() as u32 - self.bound_done;
         self.spec.tasks.saturating_sub(self.done.len() + bound)
     }
 
+    /// Whether any task has been placed or completed.
+    pub fn begun(&self) -> bool {
+        !self.done.is_empty() || !self.bound.is_empty()
+    }
+
+    /// Notes that a task is complete. False: it was known.
+    pub fn complete(&mut self, index: u32) -> bool {
+        let new = self.done.insert(index);
+        if new && self.bound.contains_key(&index) {
+            self.bound_done += 1;
+        }
+        new
+    }
+
     /// Notes that a task was bound to a host in a zone.
     pub fn bind(&mut self, index: u32, host: &str, zone: &str) {
         let hosts = self.bound.entry(index).or_default();
+        if hosts.is_empty() && self.done.contains(index) {
+            self.bound_done += 1;
+        }
         if !hosts.iter().any(|name| name == host) {
             hosts.push(host.to_owned());
             *self.zones.entry(zone.to_owned()).or_default() += 1;
@@ -153,7 +169,9 @@
         }
         if hosts.is_empty() {
             self.bound.remove(&index);
-            if !self.done.contains(index) && self.waiting() == 1 {
+            if self.done.contains(index) {
+                self.bound_done -= 1;
+            } else if self.waiting() == 1 {
                 self.waiting_since = now;
             }
         }
--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -1,12 +1,19 @@
 //! The leader's writes: a queue of changes, folded into one transaction at a time.
 //!
-//! Every transaction is conditional on the Stamps of `leader` and of every key that it writes, and
-//! on `open/<id>` of every job that it binds or completes tasks of. So a deposed leader writes
-//! nothing, a cancel wins, and a transaction that is applied late can undo nothing newer.
+//! Bindings, their ends, marks of hosts and completed tasks go to a write-ahead log, a ring of keys
+//! `log/<slot>`. Each transaction overwrites the oldest slot with a new segment, into which it
+//! carries what the old one had that still counts; the ring grows only while too little of it is
+//! free. Jobs that end and rentals are keys of their own, written in the same transaction.
+//!
+//! Every transaction is conditional on the Stamps of `leader`, of the slot, and of `open/<id>` of
+//! every job that it binds tasks of or ends. So a deposed leader writes nothing and a cancel wins.
+//! A condition that has failed once can never hold again, and nothing else is written before the
+//! fate of a transaction is known; so none is ever applied late or twice.
 
-use super::hosts::{Host, Hosts};
+use super::hosts::Hosts;
 use super::jobs::Jobs;
-use super::records::{self, BoundTask, Ending, HostRecord, OverRecord, ProgressRecord};
+use super::records::{self, Ending, OverRecord};
+use super::segment::{Builder, CHUNK, Segment, encode_chunk};
 use crate::protocol::state::{CONDITIONS_PER_OP, Condition, TXN_BYTES, Txn, Write};
 use crate::protocol::worker::TaskId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -44,7 +51,7 @@
         /// Host.
         host: String,
     },
-    /// A host is gone: its record goes, with all bindings.
+    /// A host is gone, with all bindings.
     Forget {
         /// Host.
         host: String,
@@ -56,15 +63,79 @@
     },
 }
 
+/// Something that the log must keep until it is over.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Item {
+    /// What a host is, and whether it returns.
+    Kind(String),
+    /// A binding.
+    Bound(String, TaskId),
+    /// Completed tasks of a chunk of a job.
+    Done(String, u32),
+}
+
+/// A slot of the ring with the segment that it holds.
+#[derive(Debug)]
+struct Slot {
+    number: u32,
+    stamp: u64,
+    items: BTreeSet<Item>,
+}
+
+/// The log's slots in the order of their segments.
+#[derive(Debug, Default)]
+struct Ring {
+    slots: BTreeMap<u64, Slot>,
+    place: BTreeMap<Item, u64>,
+    next_seq: u64,
+}
+
+impl Ring {
+    /// An item now stands in this segment and in no other.
+    fn put(&mut self, item: Item, seq: u64) {
+        self.drop(&item);
+        if let Some(slot) = self.slots.get_mut(&seq) {
+            slot.items.insert(item.clone());
+            self.place.insert(item, seq);
+        }
+    }
+
+    /// An item is over.
+    fn drop(&mut self, item: &Item) {
+        if let Some(seq) = self.place.remove(item)
+            && let Some(slot) = self.slots.get_mut(&seq)
+        {
+            slot.items.remove(item);
+        }
+    }
+
+    fn drop_all(&mut self, from: Item, belongs: impl Fn(&Item) -> bool) {
+        let over: Vec<Item> = self
+            .place
+            .range(from..)
+            .map(|(item, _)| item)
+            .take_while(|item| belongs(item))
+            .cloned()
+            .collect();
+        for item in over {
+            self.drop(&item);
+        }
+    }
+}
+
 /// A transaction that waits for its answer.
 #[derive(Debug)]
-pub struct InFlight {
-    /// The changes in it.
-    pub changes: Vec<Change>,
-    /// New records of the hosts in it; none: removed.
-    hosts: BTreeMap<String, Option<HostRecord>>,
-    /// Progress chunks in it; true: put.
-    chunks: BTreeMap<(String, u32), bool>,
+struct InFlight {
+    txn: Txn,
+    changes: Vec<Change>,
+    items: Vec<Item>,
+    seq: u64,
+    epoch: u64,
+    slot: u32,
+    /// The segment that it overwrites.
+    over: Option<u64>,
+    /// It was sent and not answered: it may have been executed, or may yet be.
+    doubtful: bool,
 }
 
 /// Limits of a transaction.
@@ -76,17 +147,6 @@
     pub value_bytes: usize,
 }
 
-impl TxnLimits {
-    /// Tasks in a progress chunk: four fit into a digit; half of a value is left unused.
-    pub fn chunk_tasks(&self) -> u32 {
-        (self.value_bytes as u32 * 2).max(64)
-    }
-    /// The most bindings that one host's record can hold.
-    pub fn bindings_per_host(&self) -> usize {
-        (self.value_bytes / 128).max(1)
-    }
-}
-
 /// The queue and the transaction on its way.
 #[derive(Debug)]
 pub struct Ledger {
@@ -94,37 +154,35 @@
     queue: VecDeque<Change>,
     in_flight: Option<InFlight>,
     void: Vec<(String, TaskId, u64)>,
+    ring: Ring,
 }
 
-/// Share of the byte limit that a transaction fills at most.
-const FILL: f64 = 0.8;
+/// Share of the byte limits that a segment or a transaction fills at most.
+const FILL: f64 = 0.9;
+/// Slots that the ring has at least.
+const MIN_SLOTS: usize = 8;
+/// The ring has at least this many times the slots that what counts would fill.
+const SPARE: usize = 3;
+/// Bytes of an item in a segment, about; only the ring's size goes by it.
+const ITEM_BYTES: usize = 64;
 
-#[derive(Default)]
 struct Draft {
+    builder: Builder,
     changes: Vec<Change>,
-    hosts: BTreeMap<String, Option<HostRecord>>,
-    chunks: BTreeMap<(String, u32), bool>,
+    items: Vec<Item>,
+    kinds: BTreeSet<String>,
     open: BTreeSet<String>,
     ended: BTreeMap<String, u32>,
     puts: Vec<Write>,
-    bytes: usize,
-}
-
-/// What a binding takes in a record, at most.
-const STEP_BYTES: usize = 128;
-
-#[derive(Clone, Copy)]
-struct Cost {
-    ops: usize,
-    bytes: usize,
+    put_bytes: usize,
 }
 
 impl Draft {
-    fn conditions(&self) -> usize {
-        1 + self.hosts.len() + self.open.len() + self.chunks.len() + self.ended.len()
-    }
     fn ops(&self) -> usize {
-        self.hosts.len() + self.chunks.len() + 2 * self.ended.len() + self.puts.len()
+        1 + 2 * self.ended.len() + self.puts.len()
+    }
+    fn conditions(&self) -> usize {
+        2 + self.open.len() + self.ended.len()
     }
 }
 
@@ -136,6 +194,7 @@
             queue: VecDeque::new(),
             in_flight: None,
             void: Vec::new(),
+            ring: Ring::default(),
         }
     }
 
@@ -144,9 +203,64 @@
         std::mem::take(&mut self.void)
     }
 
-    /// The limits.
-    pub fn limits(&self) -> TxnLimits {
-        self.limits
+    /// Takes over a segment that an earlier leader wrote; they come in the log's order.
+    pub fn inherit(&mut self, key: &str, stamp: u64, segment: &Segment) {
+        let Some(number) = key
+            .strip_prefix(records::LOG)
+            .and_then(|slot| slot.parse().ok())
+        else {
+            return;
+        };
+        let seq = segment.seq;
+        self.ring.next_seq = self.ring.next_seq.max(seq + 1);
+        let items = BTreeSet::new();
+        let slot = Slot {
+            number,
+            stamp,
+            items,
+        };
+        self.ring.slots.insert(seq, slot);
+        let host = |number: u32| segment.host(number).unwrap_or_default().to_owned();
+        let task = |number: u32, index: u32| TaskId {
+            job: segment.job(number).map_or(String::new(), |j| j.0.clone()),
+            index,
+        };
+        for kind in &segment.kinds {
+            self.ring.put(Item::Kind(host(kind.0)), seq);
+        }
+        for bind in &segment.binds {
+            self.ring
+                .put(Item::Bound(host(bind.0), task(bind.1, bind.2)), seq);
+        }
+        for end in &segment.ends {
+            self.ring
+                .drop(&Item::Bound(host(end.0), task(end.1, end.2)));
+        }
+        for gone in &segment.gone {
+            self.host_gone(&host(*gone));
+        }
+        for (job, chunk, _) in &segment.done {
+            let job = task(*job, 0).job;
+            self.ring.put(Item::Done(job, *chunk), seq);
+        }
+    }
+
+    fn host_gone(&mut self, host: &str) {
+        self.ring.drop(&Item::Kind(host.to_owned()));
+        let first = TaskId {
+            job: String::new(),
+            index: 0,
+        };
+        let from = Item::Bound(host.to_owned(), first);
+        self.ring
+            .drop_all(from, |item| matches!(item, Item::Bound(h, _) if h == host));
+    }
+
+    /// A job is over: its completed tasks need not be kept.
+    pub fn job_over(&mut self, job: &str) {
+        let from = Item::Done(job.to_owned(), 0);
+        self.ring
+            .drop_all(from, |item| matches!(item, Item::Done(j, _) if j == job));
     }
 
     /// Adds a change.
@@ -159,11 +273,22 @@
         self.queue.len() + self.in_flight.as_ref().map_or(0, |t| t.changes.len())
     }
 
-    /// Whether a transaction is on its way.
+    /// Whether a transaction is on its way, or its fate unknown.
     pub fn busy(&self) -> bool {
         self.in_flight.is_some()
     }
 
+    /// Slots of the ring.
+    pub fn slots(&self) -> usize {
+        self.ring.slots.len()
+    }
+
+    /// The transaction whose fate is unknown, to be sent once more as it was.
+    pub fn again(&self) -> Option<Txn> {
+        let sent = self.in_flight.as_ref().filter(|sent| sent.doubtful)?;
+        Some(sent.txn.clone())
+    }
+
     /// Forms the next transaction of at most `budget` writes, if there is anything to write.
     pub fn next(
         &mut self,
@@ -172,24 +297,30 @@
         jobs: &Jobs,
         budget: usize,
     ) -> Option<Txn> {
-        if self.in_flight.is_some() {
+        if self.in_flight.is_some() || budget == 0 || self.queue.is_empty() {
             return None;
         }
-        let mut draft = Draft::default();
+        let seq = self.ring.next_seq;
+        let mut draft = Draft {
+            builder: Builder::new(leader_stamp, seq),
+            changes: Vec::new(),
+            items: Vec::new(),
+            kinds: BTreeSet::new(),
+            open: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            puts: Vec::new(),
+            put_bytes: 0,
+        };
+        let (over, slot, stamp) = self.choose_slot(&mut draft, hosts, jobs);
+        let limit = (self.limits.value_bytes as f64 * FILL) as usize;
         while let Some(change) = self.queue.front() {
-            let cost = self.cost(&draft, change, hosts, jobs);
-            let fits = draft.ops() + cost.ops <= self.limits.ops.min(budget)
-                && draft.conditions() + cost.ops < CONDITIONS_PER_OP * self.limits.ops
-                && (draft.changes.is_empty()
-                    || (draft.bytes + cost.bytes) as f64 <= TXN_BYTES as f64 * FILL);
-            if !fits {
+            if !self.fits(&draft, change, hosts, jobs, budget, limit) {
                 break;
             }
             let Some(change) = self.queue.pop_front() else {
                 break;
             };
-            if self.add(&mut draft, &change, hosts, jobs) {
-                draft.bytes += cost.bytes;
+            if add(&mut draft, &self.ring, &change, hosts, jobs) {
                 draft.changes.push(change);
             } else if let Change::Bind {
                 host,
@@ -200,181 +331,20 @@
                 self.void.push((host, task, attempt));
             }
         }
-        if draft.changes.is_empty() {
+        if draft.changes.is_empty() && draft.items.is_empty() {
             return None;
         }
-        let txn = self.compose(&draft, leader_stamp, hosts, jobs);
-        self.in_flight = Some(InFlight {
-            changes: draft.changes,
-            hosts: draft.hosts,
-            chunks: draft.chunks,
-        });
-        Some(txn)
-    }
-
-    /// What a change adds to a draft, at most.
-    fn cost(&self, draft: &Draft, change: &Change, hosts: &Hosts, jobs: &Jobs) -> Cost {
-        let host_cost = |name: &String| {
-            let steps = hosts.get(name).map_or(0, |host| host.durable.steps.len());
-            if draft.hosts.contains_key(name) {
-                Cost {
-                    ops: 0,
-                    bytes: STEP_BYTES,
-                }
-            } else {
-                Cost {
-                    ops: 1,
-                    bytes: STEP_BYTES * (steps + 4),
-                }
-            }
-        };
-        match change {
-            Change::Bind { host, .. } | Change::Mark { host } | Change::Forget { host } => {
-                host_cost(host)
-            }
-            Change::Unbind {
-                host, task, done, ..
-            } => {
-                let mut cost = host_cost(host);
-                let chunk = task.index / self.limits.chunk_tasks();
-                if *done && !draft.chunks.contains_key(&(task.job.clone(), chunk)) {
-                    let tasks = jobs.get(&task.job).map_or(0, |job| job.spec.tasks);
-                    let digits = tasks.min(self.limits.chunk_tasks()) / 4;
-                    cost.ops += 1;
-                    cost.bytes += digits as usize + 2 * STEP_BYTES;
-                }
-                cost
-            }
-            Change::End { job } => {
-                let chunks = jobs.get(job).map_or(0, |known| known.progress_stamps.len());
-                Cost {
-                    ops: 2 + chunks,
-                    bytes: STEP_BYTES * (3 + chunks),
-                }
-            }
-            Change::Put { write } => Cost {
-                ops: 1,
-                bytes: write.json_size(),
-            },
-        }
-    }
-
-    /// Adds a change to a draft. False: it has become void.
-    fn add(&self, draft: &mut Draft, change: &Change, hosts: &Hosts, jobs: &Jobs) -> bool {
-        match change {
-            Change::Bind {
-                host,
-                task,
-                attempt,
-            } => {
-                let Some(known) = hosts.get(host) else {
-                    return false;
-                };
-                let Some(binding) = known.bindings.get(task) else {
-                    return false;
-                };
-                if jobs.get(&task.job).is_none() || binding.attempt != *attempt {
-                    return false;
-                }
-                if let Some(record) = edit(draft, known) {
-                    record
-                        .steps
-                        .retain(|step| !same(step, task) || step.attempt == *attempt);
-                    if !record.steps.iter().any(|step| same(step, task)) {
-                        record.steps.push(Host::bound_task(task, binding));
-                    }
-                }
-                draft.open.insert(task.job.clone());
-                true
-            }
-            Change::Unbind {
-                host,
-                task,
-                attempt,
-                done,
-            } => {
-                if let Some(known) = hosts.get(host)
-                    && let Some(record) = edit(draft, known)
-                {
-                    record
-                        .steps
-                        .retain(|step| !same(step, task) || step.attempt != *attempt);
-                }
-                if *done
-                    && let Some(job) = jobs.get(&task.job)
-                    && !job.ending
-                {
-                    draft.open.insert(task.job.clone());
-                    let chunk = task.index / self.limits.chunk_tasks();
-                    draft.chunks.insert((task.job.clone(), chunk), true);
-                }
-                true
-            }
-            Change::End { job } => {
-                let Some(known) = jobs.get(job) else {
-                    return false;
-                };
-                draft.open.insert(job.clone());
-                draft.ended.insert(job.clone(), known.done.len());
-                draft.chunks.retain(|(id, _), _| id != job);
-                for chunk in known.progress_stamps.keys() {
-                    draft.chunks.insert((job.clone(), *chunk), false);
-                }
-                true
-            }
-            Change::Mark { host } => {
-                if let Some(known) = hosts.get(host)
-                    && let Some(record) = edit(draft, known)
-                {
-                    record.returning = true;
-                }
-                true
-            }
-            Change::Forget { host } => {
-                draft.hosts.insert(host.clone(), None);
-                true
-            }
-            Change::Put { write } => {
-                draft.puts.push(write.clone());
-                true
-            }
-        }
-    }
-
-    fn compose(&self, draft: &Draft, leader_stamp: u64, hosts: &Hosts, jobs: &Jobs) -> Txn {
-        let mut when = vec![Condition::new(records::LEADER, leader_stamp)];
-        let mut writes = Vec::new();
+        self.ring.next_seq = seq + 1;
+        let mut when = vec![
+            Condition::new(records::LEADER, leader_stamp),
+            Condition::new(records::log(slot), stamp),
+        ];
         for job in &draft.open {
             let stamp = jobs.get(job).map_or(0, |known| known.stamp);
             when.push(Condition::new(records::open(job), stamp));
         }
-        for (name, record) in &draft.hosts {
-            let stamp = hosts.get(name).map_or(0, |host| host.stamp);
-            when.push(Condition::new(records::host(name), stamp));
-            match record {
-                Some(record) if !record.steps.is_empty() || record.returning => {
-                    writes.push(Write::set(records::host(name), record));
-                }
-                _ if stamp != 0 => writes.push(Write::remove(records::host(name))),
-                _ => {}
-            }
-        }
-        for ((id, chunk), put) in &draft.chunks {
-            let Some(job) = jobs.get(id) else { continue };
-            let stamp = job.progress_stamps.get(chunk).copied().unwrap_or(0);
-            let key = records::progress(id, *chunk);
-            when.push(Condition::new(key.clone(), stamp));
-            if *put {
-                let size = self.limits.chunk_tasks();
-                let first = chunk * size;
-                let last = (first + size).min(job.spec.tasks);
-                let record =
-                    ProgressRecord::encode(first, (first..last).map(|i| job.done.contains(i)));
-                writes.push(Write::set(key, &record));
-            } else {
-                writes.push(Write::remove(key));
-            }
-        }
+        let segment = draft.builder.finish();
+        let mut writes = vec![Write::set(records::log(slot), &segment)];
         for (id, done) in &draft.ended {
             when.push(Condition::new(records::over(id), 0));
             writes.push(Write::remove(records::open(id)));
@@ -384,35 +354,140 @@
             };
             writes.push(Write::set(records::over(id), &record));
         }
-        writes.extend(draft.puts.iter().cloned());
-        Txn { when, writes }
+        writes.append(&mut draft.puts);
+        let txn = Txn { when, writes };
+        self.in_flight = Some(InFlight {
+            txn: txn.clone(),
+            changes: draft.changes,
+            items: draft.items,
+            seq,
+            epoch: leader_stamp,
+            slot,
+            over,
+            doubtful: false,
+        });
+        Some(txn)
+    }
+
+    /// The slot for the next segment: the oldest, of which all that still counts is carried over,
+    /// or a new one while the ring is too full. Returns the segment that is overwritten, the slot
+    /// and its version.
+    fn choose_slot(
+        &self,
+        draft: &mut Draft,
+        hosts: &Hosts,
+        jobs: &Jobs,
+    ) -> (Option<u64>, u32, u64) {
+        let slots = self.ring.slots.len();
+        let wanted = SPARE * (self.ring.place.len() * ITEM_BYTES).div_ceil(self.limits.value_bytes);
+        let oldest = self.ring.slots.iter().next();
+        let Some((seq, oldest)) = oldest.filter(|_| slots >= wanted.max(MIN_SLOTS)) else {
+            // Slots are numbered without gaps and never removed.
+            return (None, slots as u32, 0);
+        };
+        for item in &oldest.items {
+            carry(draft, item, hosts, jobs);
+        }
+        (Some(*seq), oldest.number, oldest.stamp)
     }
 
-    /// The transaction was committed: takes over the records, and returns its changes.
-    pub fn committed(&mut self, stamp: u64, hosts: &mut Hosts, jobs: &mut Jobs) -> Vec<Change> {
+    /// Whether one more change fits into a draft.
+    fn fits(
+        &self,
+        draft: &Draft,
+        change: &Change,
+        hosts: &Hosts,
+        jobs: &Jobs,
+        budget: usize,
+        limit: usize,
+    ) -> bool {
+        let team = |job: &str| jobs.get(job).map_or("", |known| &known.spec.team);
+        let entry = |host: &String, job: &str| {
+            hosts
+                .get(host)
+                .map_or(2 * host.len() + job.len() + 128, |known| {
+                    Builder::entry_bytes(known, job, team(job))
+                })
+        };
+        let (ops, bytes, put_bytes) = match change {
+            Change::Bind { host, task, .. } => (0, entry(host, &task.job), 0),
+            Change::Unbind { host, task, .. } => {
+                (0, entry(host, &task.job) + CHUNK as usize / 4, 0)
+            }
+            Change::Mark { host } | Change::Forget { host } => (0, entry(host, ""), 0),
+            Change::End { job } => (2, 0, 2 * job.len() + 256),
+            Change::Put { write } => (1, 0, write.json_size()),
+        };
+        let txn_limit = (TXN_BYTES as f64 * FILL) as usize;
+        let conditions = CONDITIONS_PER_OP * self.limits.ops;
+        // A first change always goes in where there is room at all, so that nothing is stuck.
+        draft.ops() + ops <= self.limits.ops.min(budget.max(3))
+            && draft.conditions() + 2 <= conditions
+            && draft.builder.bytes() + bytes <= limit
+            && self.limits.value_bytes + 64 * draft.conditions() + draft.put_bytes + put_bytes
+                <= txn_limit
+    }
+
+    /// The transaction was committed: returns its changes.
+    pub fn committed(&mut self, stamp: u64) -> Vec<Change> {
         let Some(sent) = self.in_flight.take() else {
             return Vec::new();
         };
-        for (name, record) in sent.hosts {
-            if let Some(host) = hosts.get_mut(&name) {
-                let kept = record.filter(|r| !r.steps.is_empty() || r.returning);
-                host.stamp = if kept.is_some() { stamp } else { 0 };
-                host.durable = kept.unwrap_or_else(|| host.blank_record());
+        let slot = Slot {
+            number: sent.slot,
+            stamp,
+            items: BTreeSet::new(),
+        };
+        self.ring.slots.insert(sent.seq, slot);
+        for item in sent.items {
+            self.ring.put(item, sent.seq);
+        }
+        if let Some(over) = sent.over
+            && let Some(old) = self.ring.slots.remove(&over)
+        {
+            for item in old.items {
+                self.ring.place.remove(&item);
             }
         }
-        for ((id, chunk), put) in sent.chunks {
-            if let Some(job) = jobs.get_mut(&id) {
-                if put {
-                    job.progress_stamps.insert(chunk, stamp);
-                } else {
-                    job.progress_stamps.remove(&chunk);
+        for change in &sent.changes {
+            match change {
+                Change::Unbind { host, task, .. } => {
+                    self.ring.drop(&Item::Bound(host.clone(), task.clone()));
                 }
+                Change::Forget { host } => self.host_gone(host),
+                Change::End { job } => self.job_over(job),
+                _ => {}
             }
         }
         sent.changes
     }
 
-    /// The transaction was certainly not executed: its changes go back to the head of the queue.
+    /// The transaction was not answered: it may have been executed, or may yet be.
+    pub fn unanswered(&mut self) {
+        if let Some(sent) = &mut self.in_flight {
+            sent.doubtful = true;
+        }
+    }
+
+    /// Whether the transaction on its way has been sent before without an answer.
+    pub fn doubtful(&self) -> bool {
+        self.in_flight.as_ref().is_some_and(|sent| sent.doubtful)
+    }
+
+    /// The key that tells whether a transaction of unknown fate was executed.
+    pub fn witness(&self) -> Option<String> {
+        Some(records::log(self.in_flight.as_ref()?.slot))
+    }
+
+    /// Whether this value of the witness is that of the transaction on its way.
+    pub fn is_witness(&self, segment: &Segment) -> bool {
+        self.in_flight
+            .as_ref()
+            .is_some_and(|sent| (sent.epoch, sent.seq) == (segment.epoch, segment.seq))
+    }
+
+    /// The transaction was certainly not executed and never will be: its changes go back to the
+    /// head of the queue.
     pub fn not_executed(&mut self) {
         if let Some(sent) = self.in_flight.take() {
             for change in sent.changes.into_iter().rev() {
@@ -420,57 +495,104 @@
             }
         }
     }
+}
 
-    /// The fate of the transaction was read back: binds that the records show are committed and
-    /// returned; all other changes can be repeated and go back to the head of the queue. Binds
-    /// that they do not show go back too; should the lost transaction be applied after all, the
-    /// versions that they are conditional on will have changed.
-    pub fn reread(&mut self, hosts: &Hosts) -> Vec<Change> {
-        let Some(sent) = self.in_flight.take() else {
-            return Vec::new();
-        };
-        let mut found = Vec::new();
-        for change in sent.changes.into_iter().rev() {
-            let written = match &change {
-                Change::Bind {
-                    host,
-                    task,
-                    attempt,
-                } => hosts.get(host).is_some_and(|known| {
-                    let steps = &known.durable.steps;
-                    steps.iter().any(|s| same(s, task) && s.attempt == *attempt)
-                }),
-                _ => false,
-            };
-            if written {
-                found.push(change);
-            } else {
-                self.queue.push_front(change);
-            }
+/// Copies what still counts of an old segment into a draft.
+fn carry(draft: &mut Draft, item: &Item, hosts: &Hosts, jobs: &Jobs) {
+    match item {
+        Item::Kind(name) => {
+            let Some(host) = hosts.get(name) else { return };
+            draft.builder.kind(host, host.marked);
+            draft.kinds.insert(name.clone());
+        }
+        Item::Bound(name, task) => {
+            let known = hosts.get(name).and_then(|host| host.bindings.get(task));
+            let Some(b) = known else { return };
+            draft.builder.bind(
+                name,
+                (&task.job, task.index),
+                (&b.team, b.need),
+                (b.attempt, b.tenure),
+            );
+        }
+        Item::Done(id, chunk) => {
+            let Some(job) = jobs.get(id) else { return };
+            let bits = encode_chunk(&job.done, *chunk, job.spec.tasks);
+            draft.builder.done(id, *chunk, bits);
         }
-        found.reverse();
-        found
     }
+    draft.items.push(item.clone());
 }
 
-fn same(step: &BoundTask, task: &TaskId) -> bool {
-    step.index == task.index && step.job == task.job
-}
-
-/// The draft's copy of a host's record; `None` when the host is being forgotten.
-fn edit<'a>(draft: &'a mut Draft, host: &Host) -> Option<&'a mut HostRecord> {
-    draft
-        .hosts
-        .entry(host.name.clone())
-        .or_insert_with(|| {
-            Some(if host.stamp == 0 {
-                HostRecord {
-                    returning: false,
-                    ..host.blank_record()
-                }
-            } else {
-                host.durable.clone()
-            })
-        })
-        .as_mut()
+/// Adds a change to a draft. False: it has become void.
+fn add(draft: &mut Draft, ring: &Ring, change: &Change, hosts: &Hosts, jobs: &Jobs) -> bool {
+    match change {
+        Change::Bind {
+            host: name,
+            task,
+            attempt,
+        } => {
+            let Some(host) = hosts.get(name) else {
+                return false;
+            };
+            let Some(b) = host.bindings.get(task) else {
+                return false;
+            };
+            if jobs.get(&task.job).is_none() || b.attempt != *attempt {
+                return false;
+            }
+            let kind = Item::Kind(name.clone());
+            if !ring.place.contains_key(&kind) && draft.kinds.insert(name.clone()) {
+                draft.builder.kind(host, false);
+                draft.items.push(kind);
+            }
+            draft.builder.bind(
+                name,
+                (&task.job, task.index),
+                (&b.team, b.need),
+                (b.attempt, b.tenure),
+            );
+            draft.items.push(Item::Bound(name.clone(), task.clone()));
+            draft.open.insert(task.job.clone());
+        }
+        Change::Unbind {
+            host,
+            task,
+            attempt,
+            done,
+        } => {
+            draft.builder.end(host, &task.job, task.index, *attempt);
+            let chunk = task.index / CHUNK;
+            let item = Item::Done(task.job.clone(), chunk);
+            if *done
+                && let Some(job) = jobs.get(&task.job)
+                && !job.ending
+                && !draft.items.contains(&item)
+            {
+                let bits = encode_chunk(&job.done, chunk, job.spec.tasks);
+                draft.builder.done(&task.job, chunk, bits);
+                draft.items.push(item);
+            }
+        }
+        Change::End { job } => {
+            let Some(known) = jobs.get(job) else {
+                return false;
+            };
+            draft.open.insert(job.clone());
+            draft.ended.insert(job.clone(), known.done.len());
+        }
+        Change::Mark { host: name } => {
+            if let Some(host) = hosts.get(name) {
+                draft.builder.kind(host, true);
+                draft.kinds.insert(name.clone());
+                draft.items.push(Item::Kind(name.clone()));
+            }
+        }
+        Change::Forget { host } => draft.builder.gone(host),
+        Change::Put { write } => {
+            draft.put_bytes += write.json_size();
+            draft.puts.push(write.clone());
+        }
+    }
+    true
 }
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -7,3 +7,4 @@
 pub mod ledger;
 pub mod quotas;
 pub mod records;
+pub mod segment;
--- /dev/null
+++ b/src/bookkeeping/segment.rs
@@ -0,0 +1,263 @@
+//! One value of the write-ahead log: what a transaction bound, ended, marked and completed, with
+//! what it carried over from the segment that it overwrote.
+//!
+//! Names stand once, in tables at the head; entries refer to them by number, and all are lists, to
+//! fit many into a value.
+
+use super::hosts::{Host, Room};
+use super::jobs::TaskSet;
+use crate::protocol::cbor;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Tasks in a chunk of a job's completed tasks.
+pub const CHUNK: u32 = 256;
+
+/// A number that may have been written as an integer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Amount(#[serde(deserialize_with = "cbor::amount")] pub f64);
+
+/// A job: id, team and what a task takes, so that it can be counted even after the job is over.
+pub type JobEntry = (String, String, Amount, Amount, Amount);
+/// What a host is: number of the name, type, zone, spot, worker's address, returning.
+pub type KindEntry = (u32, String, String, bool, String, bool);
+/// A binding: numbers of host and job, task, attempt, session.
+pub type BindEntry = (u32, u32, u32, u64, u64);
+/// The end of a binding: numbers of host and job, task, attempt.
+pub type EndEntry = (u32, u32, u32, u64);
+/// Completed tasks: number of the job, of the chunk, and a bitmap in hexadecimal.
+pub type DoneEntry = (u32, u32, String);
+
+/// Value of `log/<slot>`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Segment {
+    /// Place in the log's order; the keys are used again and again.
+    #[serde(rename = "Seq")]
+    pub seq: u64,
+    /// The leader that wrote it.
+    #[serde(rename = "Epoch")]
+    pub epoch: u64,
+    /// Names of hosts.
+    #[serde(rename = "H", default)]
+    pub hosts: Vec<String>,
+    /// Jobs.
+    #[serde(rename = "J", default)]
+    pub jobs: Vec<JobEntry>,
+    /// What hosts are.
+    #[serde(rename = "K", default)]
+    pub kinds: Vec<KindEntry>,
+    /// Bindings.
+    #[serde(rename = "B", default)]
+    pub binds: Vec<BindEntry>,
+    /// Ends of bindings.
+    #[serde(rename = "E", default)]
+    pub ends: Vec<EndEntry>,
+    /// Hosts that are gone, with all bindings.
+    #[serde(rename = "G", default)]
+    pub gone: Vec<u32>,
+    /// Completed tasks.
+    #[serde(rename = "D", default)]
+    pub done: Vec<DoneEntry>,
+}
+
+impl Segment {
+    /// Whether a host's or job's number, if the entry has one, names something.
+    pub fn host(&self, number: u32) -> Option<&str> {
+        self.hosts.get(number as usize).map(String::as_str)
+    }
+    /// The job with a number.
+    pub fn job(&self, number: u32) -> Option<&JobEntry> {
+        self.jobs.get(number as usize)
+    }
+}
+
+/// Completed tasks of a chunk: four tasks a digit, the lowest bit first.
+pub fn encode_chunk(done: &TaskSet, chunk: u32, tasks: u32) -> String {
+    let first = chunk * CHUNK;
+    let last = (first + CHUNK).min(tasks);
+    (first..last)
+        .step_by(4)
+        .filter_map(|four| {
+            let digit = (0..4).fold(0, |sum, bit| {
+                sum | (u32::from(done.contains(four + bit)) << bit)
+            });
+            char::from_digit(digit, 16)
+        })
+        .collect()
+}
+
+/// Numbers of the completed tasks of a chunk.
+pub fn decode_chunk(chunk: u32, bits: &str) -> impl Iterator<Item = u32> + '_ {
+    bits.chars()
+        .take(CHUNK as usize / 4)
+        .enumerate()
+        .flat_map(move |(i, digit)| {
+            let digit = digit.to_digit(16).unwrap_or(0);
+            let four = chunk.saturating_mul(CHUNK).saturating_add(i as u32 * 4);
+            (0..4)
+                .filter(move |bit| digit & (1 << bit) != 0)
+                .map(move |bit| four + bit)
+        })
+}
+
+fn digits(number: u64) -> usize {
+    number.checked_ilog10().map_or(1, |log| log as usize + 1)
+}
+
+/// Brackets and separators of an entry, at most.
+const FRAME: usize = 8;
+/// The segment without entries.
+const EMPTY: usize = 120;
+
+/// Builds a segment and counts its size as JSON, never too low.
+#[derive(Debug, Default)]
+pub struct Builder {
+    segment: Segment,
+    host_numbers: HashMap<String, u32>,
+    job_numbers: HashMap<String, u32>,
+    bytes: usize,
+}
+
+impl Builder {
+    /// An empty segment.
+    pub fn new(epoch: u64, seq: u64) -> Builder {
+        Builder {
+            segment: Segment {
+                seq,
+                epoch,
+                ..Segment::default()
+            },
+            bytes: EMPTY,
+            ..Builder::default()
+        }
+    }
+
+    /// Its size so far.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// What any one entry with its names may add, apart from a bitmap.
+    pub fn entry_bytes(host: &Host, job: &str, team: &str) -> usize {
+        4 * FRAME
+            + 2 * host.name.len()
+            + host.flavor.len()
+            + host.zone.len()
+            + host.endpoint.len()
+            + job.len()
+            + team.len()
+            + 3 * 24
+            + 2 * 20
+            + 3 * 10
+    }
+
+    fn host_number(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.host_numbers.get(name) {
+            return *number;
+        }
+        let number = self.segment.hosts.len() as u32;
+        self.bytes += name.len() + FRAME;
+        self.host_numbers.insert(name.to_owned(), number);
+        self.segment.hosts.push(name.to_owned());
+        number
+    }
+
+    /// `need` is left out where only the job's name matters.
+    fn job_number(&mut self, id: &str, need: Option<(&str, Room)>) -> u32 {
+        let number = match self.job_numbers.get(id) {
+            Some(number) => *number,
+            None => {
+                let number = self.segment.jobs.len() as u32;
+                self.bytes += id.len() + 2 * FRAME + 12;
+                self.job_numbers.insert(id.to_owned(), number);
+                let none = Amount(0.0);
+                self.segment
+                    .jobs
+                    .push((id.to_owned(), String::new(), none, none, none));
+                number
+            }
+        };
+        if let Some((team, need)) = need
+            && let Some(entry) = self.segment.jobs.get_mut(number as usize)
+            && entry.1.is_empty()
+        {
+            let amounts = [need.cpus, need.gpus, need.ram];
+            self.bytes += team.len()
+                + amounts
+                    .map(|a| format!("{a:?}").len())
+                    .iter()
+                    .sum::<usize>();
+            entry.1 = team.to_owned();
+            [entry.2, entry.3, entry.4] = amounts.map(Amount);
+        }
+        number
+    }
+
+    /// Says what a host is.
+    pub fn kind(&mut self, host: &Host, returning: bool) {
+        let number = self.host_number(&host.name);
+        self.segment.kinds.retain(|kind| kind.0 != number);
+        self.bytes +=
+            3 * FRAME + 4 + host.flavor.len() + host.zone.len() + host.endpoint.len() + 12;
+        self.segment.kinds.push((
+            number,
+            host.flavor.clone(),
+            host.zone.clone(),
+            host.spot,
+            host.endpoint.clone(),
+            returning,
+        ));
+    }
+
+    /// Adds a binding.
+    pub fn bind(
+        &mut self,
+        host: &str,
+        (job, index): (&str, u32),
+        (team, need): (&str, Room),
+        (attempt, tenure): (u64, u64),
+    ) {
+        let host = self.host_number(host);
+        let job = self.job_number(job, Some((team, need)));
+        self.bytes += FRAME
+            + [host, job, index]
+                .map(|n| digits(n.into()))
+                .iter()
+                .sum::<usize>()
+            + digits(attempt)
+            + digits(tenure);
+        self.segment.binds.push((host, job, index, attempt, tenure));
+    }
+
+    /// Adds the end of a binding.
+    pub fn end(&mut self, host: &str, job: &str, index: u32, attempt: u64) {
+        let host = self.host_number(host);
+        let job = self.job_number(job, None);
+        self.bytes += FRAME
+            + [host, job, index]
+                .map(|n| digits(n.into()))
+                .iter()
+                .sum::<usize>()
+            + digits(attempt);
+        self.segment.ends.push((host, job, index, attempt));
+    }
+
+    /// Adds a host that is gone.
+    pub fn gone(&mut self, host: &str) {
+        let host = self.host_number(host);
+        self.bytes += digits(host.into()) + 1;
+        self.segment.gone.push(host);
+    }
+
+    /// Adds the completed tasks of a chunk.
+    pub fn done(&mut self, job: &str, chunk: u32, bits: String) {
+        let job = self.job_number(job, None);
+        self.bytes += FRAME + digits(job.into()) + digits(chunk.into()) + bits.len();
+        self.segment.done.push((job, chunk, bits));
+    }
+
+    /// The segment.
+    pub fn finish(self) -> Segment {
+        self.segment
+    }
+}
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -224,8 +224,8 @@
                         tenure: None,
                         orders,
                     };
+                    // What else follows from it waits for the next tick: reports are many.
                     self.out.answer(to, 200, &answer);
-                    self.drive(now);
                     return;
                 }
                 ReportAnswer::Superseded => {}
@@ -261,6 +261,10 @@
             return;
         };
         let t = now.steady;
+        let desk_only = matches!(
+            ask,
+            StoreAsk::Check | StoreAsk::Look(_) | StoreAsk::Renew | StoreAsk::Write
+        );
         if !matches!(reply, StoreReply::Refused | StoreReply::Silent) {
             self.state_ok_at = Some(t);
         }
@@ -295,8 +299,13 @@
                 }
             }
             StoreAsk::Ledger(epoch) => {
-                if let Some(leader) = self.leader_of(epoch) {
-                    leader.written(reply, t);
+                if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
+                    leader.written(reply, &mut self.out, t);
+                }
+            }
+            StoreAsk::Witness(epoch) => {
+                if let Some(leader) = self.leader.as_mut().filter(|l| l.epoch() == epoch) {
+                    leader.witnessed(reply, &mut self.out, t);
                 }
             }
             StoreAsk::Catalogue => {
@@ -313,7 +322,9 @@
             }
             StoreAsk::Ignored => {}
         }
-        self.drive(t);
+        if !desk_only {
+            self.drive(t);
+        }
     }
 
     fn leader_of(&mut self, epoch: u64) -> Option<&mut Leader> {
@@ -363,7 +374,6 @@
         if let Some(leader) = self.leader_of(ask.epoch) {
             leader.pushed(&ask, reply, now.steady);
         }
-        self.drive(now.steady);
     }
 
     /// Takes a peer's word.
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -479,7 +479,11 @@
     fn retire(&mut self, now: f64) {
         let lease_s = self.settings.deployment.workers.lease_s;
         let silent_s = lease_s / 2.0;
-        let silent = |host: &Host| host.heard.is_some_and(|at| now - at > silent_s);
+        // Who has tasks and was never heard had them under an earlier leader.
+        let silent = |host: &Host| match host.heard {
+            Some(at) => now - at > silent_s,
+            None => !host.bindings.is_empty() && now - self.since > lease_s,
+        };
         let up = self.hosts.iter().filter(|h| h.heard.is_some()).count();
         // When most have missed their latest reports it is this node that is cut off. Counting only
         // those past the longer limit would give back the first few that pass it.
@@ -492,7 +496,8 @@
         // So it may be when nobody at all is heard; should this last, the lead is given up.
         let quiet_s = self.last_report.map_or(0.0, |at| now - at);
         let nobody = quiet_s > QUIET_REPORTS * self.fleet.report_s && quiet_s < lease_s;
-        let cut_off = 2 * unheard > up || nobody;
+        let unreached = self.hosts.iter().filter(|h| h.unreached.is_some()).count();
+        let cut_off = 2 * unheard > up || 2 * unreached > up || nobody;
         let mut back = Vec::new();
         for host in self.hosts.iter().filter(|host| !host.returning) {
             let ready_s = self
@@ -514,6 +519,8 @@
                 "never came up"
             } else if silent(host) && !cut_off {
                 "silent"
+            } else if host.unreached.is_some_and(|at| now - at > lease_s) && !cut_off {
+                "can't be reached"
             } else if host.errors >= MAX_ERRORS {
                 "fails tasks"
             } else if host.heard.is_none()
--- a/src/coordination/leader/load.rs
+++ b/src/coordination/leader/load.rs
@@ -1,9 +1,9 @@
-//! Reading the records: all of them after a takeover, hosts and progress after a transaction whose
-//! fate is unknown.
+//! Reading the records after a takeover: open jobs, the log, and rentals.
 
 use super::{Leader, Notice};
 use crate::bookkeeping::hosts::{Binding, Host, Room};
-use crate::bookkeeping::records::{self, HostRecord, ProgressRecord, RentalRecord};
+use crate::bookkeeping::records::{self, RentalRecord};
+use crate::bookkeeping::segment::{Segment, decode_chunk};
 use crate::coordination::outbox::{Outbox, StoreAsk};
 use crate::protocol::cbor;
 use crate::protocol::job::JobSpec;
@@ -18,44 +18,20 @@
     from: Option<String>,
     in_flight: bool,
     retry_at: f64,
-    first: bool,
 }
 
 impl Loading {
     /// Everything, for a new leader.
     pub fn everything() -> Loading {
-        Loading::of(
-            vec![
-                records::OPEN,
-                records::HOST,
-                records::PROGRESS,
-                records::RENTAL,
-            ],
-            true,
-        )
-    }
-
-    /// What transactions change, to learn the fate of one.
-    pub fn again() -> Loading {
-        Loading::of(vec![records::HOST, records::PROGRESS], false)
-    }
-
-    fn of(mut prefixes: Vec<&'static str>, first: bool) -> Loading {
-        prefixes.reverse();
         Loading {
-            prefixes,
+            // The last goes first.
+            prefixes: vec![records::RENTAL, records::LOG, records::OPEN],
             items: Vec::new(),
             from: None,
             in_flight: false,
             retry_at: 0.0,
-            first,
         }
     }
-
-    /// Whether this is a new leader's first reading.
-    pub fn is_first(&self) -> bool {
-        self.first
-    }
 }
 
 impl Leader {
@@ -105,17 +81,7 @@
         let Some(loading) = self.loading.take() else {
             return;
         };
-        if !loading.first {
-            // Keys that are not there any more have no version.
-            for host in self.hosts.iter_mut() {
-                host.stamp = 0;
-                host.durable = host.blank_record();
-                host.durable.returning = false;
-            }
-            for job in self.jobs.iter_mut() {
-                job.progress_stamps.clear();
-            }
-        }
+        let mut segments = Vec::new();
         for item in &loading.items {
             if item.key.starts_with(records::OPEN) {
                 if let Ok(spec) = cbor::from_value::<JobSpec>(&item.value)
@@ -123,14 +89,10 @@
                 {
                     self.opened(item.stamp, &spec, now, wall);
                 }
-            } else if item.key.starts_with(records::PROGRESS) {
-                self.load_progress(item);
-            }
-        }
-        for item in &loading.items {
-            if let Some(name) = item.key.strip_prefix(records::HOST) {
-                if let Ok(record) = cbor::from_value::<HostRecord>(&item.value) {
-                    self.load_host(name, item.stamp, record, now);
+            } else if item.key.starts_with(records::LOG) {
+                match cbor::from_value::<Segment>(&item.value) {
+                    Ok(segment) => segments.push((item, segment)),
+                    Err(error) => tracing::error!(key = item.key, %error, "unreadable segment"),
                 }
             } else if let Some(bid) = item.key.strip_prefix(records::RENTAL)
                 && let Ok(record) = cbor::from_value::<RentalRecord>(&item.value)
@@ -138,98 +100,125 @@
                 self.fleet.inherit_rental(bid, record);
             }
         }
+        segments.sort_by_key(|(_, segment)| segment.seq);
+        // What a host is may have been carried into a later segment than its bindings stand in.
+        for (_, segment) in &segments {
+            self.replay_kinds(segment, now);
+        }
+        for (item, segment) in &segments {
+            self.ledger.inherit(&item.key, item.stamp, segment);
+            self.replay(segment);
+        }
+        self.count_inherited();
         self.closed_early.clear();
         if let Some((revision, listed)) = self.listed_early.take() {
             self.keep_open(revision, listed);
         }
         self.halt_orphans();
-        if loading.first {
-            tracing::info!(
-                epoch = self.epoch,
-                jobs = self.jobs.len(),
-                hosts = self.hosts.len(),
-                after_s = now - self.since,
-                "tables loaded"
-            );
-            self.end_complete_jobs();
-            for (_, report) in std::mem::take(&mut self.early) {
-                let _ = self.take_report(&report, true, now);
-            }
-        } else {
-            for change in self.ledger.reread(&self.hosts) {
-                self.apply(&change, now);
-            }
+        tracing::info!(
+            epoch = self.epoch,
+            jobs = self.jobs.len(),
+            hosts = self.hosts.len(),
+            segments = segments.len(),
+            after_s = now - self.since,
+            "tables loaded"
+        );
+        self.end_complete_jobs();
+        for (_, report) in std::mem::take(&mut self.early) {
+            let _ = self.take_report(&report, true, now);
         }
         self.schedule_due = true;
     }
 
-    fn load_progress(&mut self, item: &Item) {
-        let mut parts = item.key[records::PROGRESS.len()..].rsplitn(2, '/');
-        let (Some(chunk), Some(id)) = (parts.next().and_then(|c| c.parse().ok()), parts.next())
-        else {
-            return;
-        };
-        let Ok(record) = cbor::from_value::<ProgressRecord>(&item.value) else {
-            return;
-        };
-        match self.jobs.get_mut(id) {
-            Some(job) => {
-                job.progress_stamps.insert(chunk, item.stamp);
-                for index in record.tasks() {
-                    job.done.insert(index);
-                }
-            }
-            // What a cancelled job has left behind.
-            None => self.sweep(item.key.clone()),
+    /// Repeats what a segment of the log says of hosts.
+    fn replay_kinds(&mut self, segment: &Segment, now: f64) {
+        // An earlier leader may have answered reports until its hold-over ended.
+        let lease_from = self.since + self.hold_over_s;
+        for (number, flavor, zone, spot, endpoint, returning) in &segment.kinds {
+            let Some(name) = segment.host(*number) else {
+                continue;
+            };
+            let host = self.hosts.entry(name, || {
+                let mut host = Host::new(name, flavor, zone, *spot, now);
+                host.lease_from = lease_from;
+                host
+            });
+            host.endpoint.clone_from(endpoint);
+            host.returning |= returning;
+            host.marked |= returning;
         }
     }
 
-    fn load_host(&mut self, name: &str, stamp: u64, record: HostRecord, now: f64) {
-        let lease_from = self.since + self.hold_over_s;
-        let host = self.hosts.entry(name, || {
-            let mut host = Host::new(name, &record.flavor, &record.zone, record.spot, now);
-            host.endpoint = record.endpoint.clone();
-            // An earlier leader may have answered its reports until its hold-over ended.
-            host.lease_from = lease_from;
-            host
-        });
-        host.stamp = stamp;
-        if record.returning {
-            host.returning = true;
-            host.marked = true;
-        }
-        for bound in &record.steps {
-            let task = TaskId {
-                job: bound.job.clone(),
-                index: bound.index,
+    /// Repeats what a segment of the log says of tasks.
+    fn replay(&mut self, segment: &Segment) {
+        let task = |job: u32, index: u32| {
+            let job = segment.job(job)?.0.clone();
+            Some(TaskId { job, index })
+        };
+        for (number, job, index, attempt, tenure) in &segment.binds {
+            let (Some(name), Some(entry)) = (segment.host(*number), segment.job(*job)) else {
+                continue;
             };
-            if host.bindings.contains_key(&task) {
+            let (Some(host), Some(task)) = (self.hosts.get_mut(name), task(*job, *index)) else {
                 continue;
-            }
-            let need = Room {
-                cpus: bound.need[0],
-                gpus: bound.need[1],
-                ram: bound.need[2],
             };
             let binding = Binding {
-                attempt: bound.attempt,
-                tenure: bound.tenure,
-                need,
-                team: bound.team.clone(),
+                attempt: *attempt,
+                tenure: *tenure,
+                need: Room {
+                    cpus: entry.2.0,
+                    gpus: entry.3.0,
+                    ram: entry.4.0,
+                },
+                team: entry.1.clone(),
                 durable: true,
                 inherited: true,
                 ending: false,
                 halt: None,
                 running: None,
             };
-            host.bindings.insert(task.clone(), binding);
-            self.quotas.take(&bound.team, need.cpus, need.gpus);
-            if let Some(job) = self.jobs.get_mut(&task.job) {
-                job.bind(task.index, name, &host.zone);
+            host.bindings.insert(task, binding);
+        }
+        for (number, job, index, attempt) in &segment.ends {
+            let host = segment.host(*number).and_then(|n| self.hosts.get_mut(n));
+            if let (Some(host), Some(task)) = (host, task(*job, *index))
+                && host
+                    .bindings
+                    .get(&task)
+                    .is_some_and(|b| b.attempt == *attempt)
+            {
+                host.bindings.remove(&task);
+            }
+        }
+        for number in &segment.gone {
+            if let Some(name) = segment.host(*number) {
+                self.hosts.remove(name);
+            }
+        }
+        for (job, chunk, bits) in &segment.done {
+            let job = segment
+                .job(*job)
+                .and_then(|entry| self.jobs.get_mut(&entry.0));
+            if let Some(job) = job {
+                for index in decode_chunk(*chunk, bits) {
+                    job.complete(index);
+                }
+            }
+        }
+    }
+
+    /// Counts the bindings that the log has left.
+    fn count_inherited(&mut self) {
+        for host in self.hosts.iter() {
+            for (task, binding) in &host.bindings {
+                let need = binding.need;
+                self.quotas.take(&binding.team, need.cpus, need.gpus);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.bind(task.index, &host.name, &host.zone);
+                }
             }
+            self.push_due.insert(host.name.clone());
         }
-        host.durable = record;
-        self.push_due.insert(name.to_owned());
     }
 
     /// Jobs of which the last task was recorded, but not the end.
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,7 +6,6 @@
 mod reports;
 mod writes;
 
-use super::autoscaler::Meter;
 use super::outbox::Outbox;
 use super::scheduler::{self, Pass};
 use crate::bookkeeping::budget::Bucket;
@@ -19,7 +18,7 @@
 use crate::protocol::cloud::Flavor;
 use crate::protocol::job::{JobSpec, Shape};
 use crate::protocol::peer::{Counts, MAX_COUNTS};
-use crate::protocol::worker::{Order, Report, StepStatus, TaskId};
+use crate::protocol::worker::{Order, Report, TaskId};
 use crate::settings::{DRIFT, Settings};
 use fleet::Fleet;
 use load::Loading;
@@ -35,8 +34,10 @@
 pub const STATE_SHARE: f64 = 0.5;
 /// Reports kept while the tables are being loaded.
 const MAX_EARLY: usize = 4096;
-/// Binds are put off while more changes than this many transactions wait.
-const MAX_BACKLOG_TXNS: usize = 2;
+/// Binds are put off while more changes than this wait to be written.
+const MAX_BACKLOG: usize = 600;
+/// Passes of the scheduler in a report interval, at most.
+const PASSES_PER_REPORT: f64 = 25.0;
 
 /// Something that the rest of the node must learn.
 #[derive(Debug, PartialEq)]
@@ -67,14 +68,19 @@
     tries: u64,
     requests: Bucket,
     changes: Bucket,
-    write_retry_at: f64,
+    /// A transaction, or a look at its fate, is on its way.
+    writing: bool,
+    /// No transaction before this time.
+    write_at: f64,
+    /// The conditions that a transaction of unknown fate met.
+    refused_for: Vec<String>,
     schedule_due: bool,
+    schedule_at: f64,
     push_due: BTreeSet<String>,
     pushing: HashSet<String>,
     pushed_at: HashMap<String, (Vec<Order>, f64)>,
     unplaced: Vec<scheduler::Unplaced>,
     fleet: Fleet,
-    arrivals: BTreeMap<String, Meter>,
     notices: Vec<Notice>,
     hold_over_s: f64,
     last_report: Option<f64>,
@@ -112,14 +118,16 @@
             tries: 0,
             requests: share(state.rps),
             changes: share(state.write_rps),
-            write_retry_at: 0.0,
+            writing: false,
+            write_at: 0.0,
+            refused_for: Vec::new(),
             schedule_due: true,
+            schedule_at: 0.0,
             push_due: BTreeSet::new(),
             pushing: HashSet::new(),
             pushed_at: HashMap::new(),
             unplaced: Vec::new(),
             fleet: Fleet::new(&settings, epoch, now),
-            arrivals: BTreeMap::new(),
             notices: Vec::new(),
             hold_over_s,
             last_report: None,
@@ -157,12 +165,6 @@
             job.due = self.objective(&spec.class).map(|within| since + within);
         }
         self.jobs.insert(job);
-        if !self.loading() {
-            self.arrivals
-                .entry(spec.class.clone())
-                .or_default()
-                .add(f64::from(spec.tasks), now);
-        }
         self.schedule_due = true;
     }
 
@@ -183,10 +185,28 @@
             // What has been read so far may still show it as open.
             self.closed_early.insert(id.to_owned());
         }
-        if self.jobs.remove(id).is_none() {
-            return;
+        if let Some(job) = self.jobs.remove(id) {
+            self.ledger.job_over(id);
+            self.halt_orphans_of(&job);
+        }
+    }
+
+    /// Orders a stop of a job's bound tasks after its end.
+    fn halt_orphans_of(&mut self, job: &Job) {
+        for (index, names) in &job.bound {
+            let task = TaskId {
+                job: job.spec.id.clone(),
+                index: *index,
+            };
+            for name in names {
+                let host = self.hosts.get_mut(name);
+                if let Some(binding) = host.and_then(|host| host.bindings.get_mut(&task)) {
+                    binding.halt = Some((0.0, HaltReason::Over));
+                    self.push_due.insert(name.clone());
+                }
+            }
         }
-        self.halt_orphans();
+        self.schedule_due = true;
     }
 
     /// A listing of the open jobs at a revision. The leader's own listing may be older: a job that
@@ -222,9 +242,7 @@
 
     /// Whether the tables are still being loaded.
     pub fn loading(&self) -> bool {
-        self.loading
-            .as_ref()
-            .is_some_and(|loading| loading.is_first())
+        self.loading.is_some()
     }
 
     /// For how long no worker has been heard, although some should be up.
@@ -250,10 +268,8 @@
 
     /// Does all that is due. `confirmed`: this node certainly holds the lease.
     pub fn drive(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
-        if self.loading.is_some() {
-            self.drive_loading(out, now);
-        }
         if self.loading() {
+            self.drive_loading(out, now);
             return;
         }
         self.end_dead_sessions(now);
@@ -323,6 +339,7 @@
             }
             if let Some(job) = self.jobs.get_mut(&task.job) {
                 job.unbind(task.index, name, &host.zone, now);
+                job.running -= u32::from(binding.running.is_some());
             }
             self.schedule_due = true;
             self.push_due.insert(name.to_owned());
@@ -345,19 +362,13 @@
 
     /// One pass of the scheduler, unless too much waits to be written down.
     fn schedule(&mut self, now: f64) {
-        let backlog = MAX_BACKLOG_TXNS * self.settings.deployment.state.txn_ops;
-        if !self.schedule_due || self.flavors.is_empty() || self.ledger.backlog() > backlog {
+        let due = self.schedule_due && now >= self.schedule_at;
+        if !due || self.flavors.is_empty() || self.ledger.backlog() > MAX_BACKLOG {
             return;
         }
         self.schedule_due = false;
-        let pass = Pass::new(
-            &self.jobs,
-            &self.hosts,
-            &self.flavors,
-            &self.quotas,
-            self.ledger.limits().bindings_per_host(),
-            now,
-        );
+        self.schedule_at = now + self.settings.deployment.workers.report_s / PASSES_PER_REPORT;
+        let pass = Pass::new(&self.jobs, &self.hosts, &self.flavors, &self.quotas, now);
         let plan = pass.run(&mut self.rng);
         for (task, host) in plan.binds {
             self.bind(&task, &host, now);
@@ -431,29 +442,10 @@
         self.jobs
             .iter()
             .take(MAX_COUNTS)
-            .map(|job| {
-                let running = job
-                    .bound
-                    .iter()
-                    .filter(|(index, hosts)| {
-                        hosts.iter().any(|name| {
-                            self.hosts.get(name).is_some_and(|host| {
-                                let task = TaskId {
-                                    job: job.spec.id.clone(),
-                                    index: **index,
-                                };
-                                host.steps.get(&task).is_some_and(|steps| {
-                                    steps.iter().any(|s| s.status == StepStatus::Running)
-                                })
-                            })
-                        })
-                    })
-                    .count();
-                Counts {
-                    job: job.spec.id.clone(),
-                    done: job.done.len(),
-                    running: running as u32,
-                }
+            .map(|job| Counts {
+                job: job.spec.id.clone(),
+                done: job.done.len(),
+                running: job.running,
             })
             .collect()
     }
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::ledger::Change;
 use crate::coordination::outbox::{Outbox, WorkerAsk};
 use crate::protocol::worker::{
-    Cause, Commands, Order, Report, StepReport, StepStatus, TaskId, WorkerCall, WorkerReply,
+    Cause, Commands, Order, Report, StepReport, StepStatus, TaskId, Verb, WorkerCall, WorkerReply,
 };
 use std::collections::BTreeMap;
 
@@ -46,12 +46,17 @@
         };
         let orders = host.orders(confirmed, MAX_ORDERS);
         host.note_sent(&orders, Some(report.tick));
+        if confirmed && orders.len() < MAX_ORDERS {
+            // The answer carries all; the next report shows what came of it.
+            self.push_due.remove(&report.host);
+            self.pushed_at
+                .insert(report.host.clone(), (orders.clone(), now));
+        }
         ReportAnswer::Orders(orders)
     }
 
     /// Takes a report from whatever way. False: a newer one is known.
     pub(super) fn take_report(&mut self, report: &Report, by_itself: bool, now: f64) -> bool {
-        self.last_report = Some(now);
         let since = self.since + self.hold_over_s;
         let known = self.hosts.get(&report.host).is_some();
         if !known && self.fleet.is_gone(&report.host) {
@@ -65,6 +70,14 @@
         if !known {
             tracing::info!(host = report.host, "a machine nobody expected reports");
         }
+        if !host.is_newer(report) {
+            // A copy, or overtaken by a direct answer. Should the worker still wait for our answer,
+            // its lease counts from when it sent this, which was before the newest word we had.
+            if let Some(heard) = host.heard.filter(|_| by_itself) {
+                host.lease_from = host.lease_from.max(heard);
+            }
+            return false;
+        }
         if by_itself {
             host.lease_from = if host.acked {
                 now
@@ -72,11 +85,12 @@
                 host.lease_from.max(now)
             };
         }
-        if !host.is_newer(report) {
-            return false;
-        }
         let new_session = report.tenure > host.tenure;
         if new_session {
+            if host.heard.is_some() {
+                // It lost a session although we answered it: perhaps our answers don't arrive.
+                host.unreached = Some(now);
+            }
             host.in_flight.clear();
             host.idle_since = now;
             // Its lease runs from its beginning, of which a direct answer may be the first word.
@@ -98,6 +112,10 @@
         host.tenure = report.tenure;
         host.tick = report.tick;
         host.heard = Some(now);
+        if report.epoch == self.epoch {
+            // Only who has our Epoch shows that we are heard, too.
+            self.last_report = Some(now);
+        }
         host.endpoint.clone_from(&report.endpoint);
         host.taken_at = report.warning_s.map(|left| now + left);
         if report.epoch == self.epoch && !host.acked {
@@ -155,6 +173,9 @@
                 }
                 Some(step) if step.status != StepStatus::Fetching && binding.running.is_none() => {
                     binding.running = Some(now);
+                    if let Some(job) = self.jobs.get_mut(&task.job) {
+                        job.running += 1;
+                    }
                     tracing::debug!(host = name, %task, attempt = binding.attempt, "running");
                     images.push(task.job.clone());
                 }
@@ -220,7 +241,7 @@
         if let Some(job) = self.jobs.get_mut(&task.job) {
             match cause {
                 Cause::Done if !job.standing() => {
-                    done = job.done.insert(task.index);
+                    done = job.complete(task.index);
                     job.errors = 0;
                 }
                 // A faulty machine, or a mistake in the job: both wait a little longer each time.
@@ -294,8 +315,10 @@
     pub(super) fn drive_pushes(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
         let report_s = self.settings.deployment.workers.report_s;
         let missed = |host: &Host| {
-            host.heard
-                .is_some_and(|at| now - at > PROBE_AFTER * report_s)
+            host.unreached.is_some()
+                || host
+                    .heard
+                    .is_some_and(|at| now - at > PROBE_AFTER * report_s)
         };
         for host in self.hosts.iter().filter(|host| missed(host)) {
             self.push_due.insert(host.name.clone());
@@ -318,7 +341,9 @@
             // silent: it may only be on its way from a node that does not answer it.
             let missed = host.acked && !host.marked && missed(host);
             let up = host.heard.is_some() || host.listed_up || !host.bindings.is_empty();
-            let wanted = !orders.is_empty() || missed || (!host.acked && !host.marked && up);
+            // Clears can wait for the next report.
+            let pressing = orders.iter().any(|order| order.verb != Verb::Clear);
+            let wanted = pressing || missed || (!host.acked && !host.marked && up);
             if !wanted || host.endpoint.is_empty() {
                 self.push_due.remove(&name);
                 continue;
@@ -360,6 +385,14 @@
         self.push_due.insert(ask.host.clone());
         if let Some(host) = self.hosts.get_mut(&ask.host) {
             host.settle_direct(&ask.orders, matches!(reply, WorkerReply::Silent));
+            match reply {
+                WorkerReply::Done(_) | WorkerReply::Mismatch(_) => host.unreached = None,
+                WorkerReply::Silent | WorkerReply::Unreached => {
+                    host.unreached.get_or_insert(now);
+                }
+                WorkerReply::NotSent => {}
+            }
+            self.schedule_due = true;
         }
         let report = match reply {
             WorkerReply::Done(report) => report,
@@ -368,7 +401,7 @@
                 self.pushed_at.remove(&ask.host);
                 report
             }
-            WorkerReply::NotSent | WorkerReply::Silent => return,
+            WorkerReply::NotSent | WorkerReply::Unreached | WorkerReply::Silent => return,
         };
         if report.host != ask.host {
             tracing::warn!(host = ask.host, "another worker answers at its address");
--- a/src/coordination/leader/writes.rs
+++ b/src/coordination/leader/writes.rs
@@ -1,91 +1,148 @@
 //! The leader's transactions and what follows from their answers.
 
-use super::load::Loading;
-use super::{Leader, Notice};
+use super::{Leader, Notice, STATE_SHARE};
 use crate::bookkeeping::ledger::Change;
 use crate::bookkeeping::records::{self, Ending, OverRecord};
+use crate::bookkeeping::segment::Segment;
 use crate::coordination::outbox::{Outbox, StoreAsk};
-use crate::protocol::state::{StoreCall, StoreReply, Write};
+use crate::protocol::cbor;
+use crate::protocol::state::{StoreCall, StoreReply};
+
+/// Share of the leader's budget of changes that must have come back before the next transaction.
+const PACE: f64 = 2.0;
 
 impl Leader {
-    /// Sends the next transaction if there is one and the budget has room for it.
+    /// Sends the next transaction if there is one and the budget has room for it; or once more the
+    /// one whose fate is unknown.
     pub(super) fn drive_writes(&mut self, out: &mut Outbox, now: f64) {
-        if self.loading.is_some() || now < self.write_retry_at || self.ledger.busy() {
-            return;
-        }
-        if self.ledger.backlog() == 0 || self.requests.level(now) < 1.0 {
+        if self.loading() || self.writing || now < self.write_at || self.requests.level(now) < 1.0 {
             return;
         }
-        let budget = self.changes.level(now) as usize;
-        let txn = self
-            .ledger
-            .next(self.epoch, &self.hosts, &self.jobs, budget);
-        // Binds of jobs that have ended meanwhile: nothing was written, no start was sent.
-        for (host, task, attempt) in self.ledger.take_void() {
-            self.drop_binding(&host, &task, attempt, now);
-        }
-        let Some(txn) = txn else {
-            return;
+        let txn = match self.ledger.again() {
+            Some(txn) => txn,
+            None => {
+                let budget = self.changes.level(now).max(0.0) as usize;
+                let txn = self
+                    .ledger
+                    .next(self.epoch, &self.hosts, &self.jobs, budget);
+                // Binds of jobs that have ended meanwhile: nothing was written, no start was sent.
+                for (host, task, attempt) in self.ledger.take_void() {
+                    self.drop_binding(&host, &task, attempt, now);
+                }
+                let Some(txn) = txn else { return };
+                txn
+            }
         };
         self.requests.force(1.0, now);
         self.changes.force(txn.writes.len() as f64, now);
-        let patience_s = self.settings.deployment.workers.report_s / 2.0;
-        out.store(
-            StoreAsk::Ledger(self.epoch),
-            StoreCall::Txn(txn),
-            patience_s,
-            now,
-        );
+        self.writing = true;
+        // Small transactions wait for company, the longer the more of the budget is gone.
+        let state = &self.settings.deployment.state;
+        self.write_at = now + PACE / (state.write_rps * STATE_SHARE);
+        let ask = StoreAsk::Ledger(self.epoch);
+        out.store(ask, StoreCall::Txn(txn), self.patience_s(), now);
+    }
+
+    fn patience_s(&self) -> f64 {
+        self.settings.deployment.workers.report_s / 2.0
     }
 
     /// Takes the answer to a transaction.
-    pub fn written(&mut self, reply: StoreReply, now: f64) {
+    pub fn written(&mut self, reply: StoreReply, out: &mut Outbox, now: f64) {
+        self.writing = false;
+        let report_s = self.settings.deployment.workers.report_s;
         match reply {
-            StoreReply::Committed(stamp) => {
-                let changes = self
-                    .ledger
-                    .committed(stamp, &mut self.hosts, &mut self.jobs);
-                for change in changes {
-                    self.apply(&change, now);
-                }
-            }
+            StoreReply::Committed(stamp) => self.commit(stamp, now),
             StoreReply::Conflict(failed) => {
-                tracing::info!(?failed, "transaction refused by its conditions");
                 if failed.iter().any(|key| key == records::LEADER) {
                     self.note(Notice::Deposed);
-                    return;
-                }
-                // Keys of open jobs change only by their end.
-                let mut other = failed.is_empty();
-                for key in &failed {
-                    match key.strip_prefix(records::OPEN) {
-                        Some(id) => self.closed(id),
-                        None => other = true,
-                    }
-                }
-                if other {
-                    self.loading = Some(Loading::again());
+                } else if let Some(key) = self.ledger.witness()
+                    && self.ledger.doubtful()
+                {
+                    // Its own first copy may be what it met.
+                    self.refused_for = failed;
+                    self.look_at_witness(key, out, now);
                 } else {
-                    self.ledger.not_executed();
+                    self.refused(&failed);
                 }
             }
             StoreReply::Busy | StoreReply::Refused => {
-                self.ledger.not_executed();
-                self.write_retry_at = now + self.settings.deployment.workers.report_s / 10.0;
+                // An earlier copy may still be on its way; if there is none, all may be put anew.
+                if !self.ledger.doubtful() {
+                    self.ledger.not_executed();
+                }
+                self.write_at = now + report_s / 10.0;
             }
             StoreReply::Bad => {
                 tracing::error!("the state service calls a transaction malformed");
-                self.loading = Some(Loading::again());
-                self.write_retry_at = now + self.settings.deployment.workers.report_s;
+                self.ledger.not_executed();
+                self.write_at = now + report_s;
             }
             // It may have been applied, or may yet be.
             _ => {
-                tracing::info!("transaction without answer: reading back");
-                self.loading = Some(Loading::again());
+                tracing::info!("transaction without answer");
+                self.ledger.unanswered();
             }
         }
     }
 
+    fn look_at_witness(&mut self, key: String, out: &mut Outbox, now: f64) {
+        self.writing = true;
+        self.requests.force(1.0, now);
+        let ask = StoreAsk::Witness(self.epoch);
+        out.store(ask, StoreCall::Get(key), self.patience_s(), now);
+    }
+
+    /// Takes the look that tells whether a transaction of unknown fate was executed.
+    pub fn witnessed(&mut self, reply: StoreReply, out: &mut Outbox, now: f64) {
+        self.writing = false;
+        let ours = match &reply {
+            StoreReply::Found(item) => cbor::from_value::<Segment>(&item.value)
+                .is_ok_and(|segment| self.ledger.is_witness(&segment))
+                .then_some(item.stamp),
+            StoreReply::Missing => None,
+            _ => {
+                if let Some(key) = self.ledger.witness() {
+                    self.look_at_witness(key, out, now);
+                }
+                return;
+            }
+        };
+        match ours {
+            Some(stamp) => self.commit(stamp, now),
+            None => {
+                let failed = std::mem::take(&mut self.refused_for);
+                self.refused(&failed);
+            }
+        }
+    }
+
+    fn commit(&mut self, stamp: u64, now: f64) {
+        for change in self.ledger.committed(stamp) {
+            self.apply(&change, now);
+        }
+    }
+
+    /// A transaction met conditions that do not hold, and so never will.
+    fn refused(&mut self, failed: &[String]) {
+        tracing::info!(?failed, "transaction refused by its conditions");
+        if failed.iter().any(|key| key.starts_with(records::LOG)) {
+            // Somebody else writes the log: whoever it is, this node should not.
+            self.note(Notice::Deposed);
+            return;
+        }
+        // Keys of jobs change only by their end.
+        for key in failed {
+            let id = key
+                .strip_prefix(records::OPEN)
+                .or_else(|| key.strip_prefix(records::OVER));
+            if let Some(id) = id {
+                self.closed(id);
+            }
+        }
+        self.ledger.not_executed();
+    }
+
     /// Does what a committed change allows.
     pub(super) fn apply(&mut self, change: &Change, now: f64) {
         match change {
@@ -110,13 +167,13 @@
             } => self.drop_binding(host, task, *attempt, now),
             Change::End { job } => {
                 if let Some(known) = self.jobs.remove(job) {
-                    tracing::info!(job, "done");
+                    tracing::debug!(job, "done");
                     let record = OverRecord {
                         ending: Ending::Done,
                         done: known.done.len(),
                     };
                     self.note(Notice::Over(job.clone(), record));
-                    self.halt_orphans();
+                    self.halt_orphans_of(&known);
                 }
             }
             Change::Mark { host } => {
@@ -146,11 +203,4 @@
             self.ledger.push(Change::End { job: id.to_owned() });
         }
     }
-
-    /// Removes a key that nothing needs any more.
-    pub(super) fn sweep(&mut self, key: String) {
-        self.ledger.push(Change::Put {
-            write: Write::remove(key),
-        });
-    }
 }
--- a/src/coordination/outbox.rs
+++ b/src/coordination/outbox.rs
@@ -83,6 +83,8 @@
     Load(u64),
     /// The leader's transaction, for this Epoch.
     Ledger(u64),
+    /// The leader's look at the log, to learn the fate of its transaction.
+    Witness(u64),
     /// The stored catalogue.
     Catalogue,
     /// A call whose answer does not matter.
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -54,7 +54,6 @@
     free: Room,
     /// Room that tasks being stopped will give, minus what it is already meant for.
     leaving: Room,
-    binds: usize,
 }
 
 /// One pass over the waiting tasks.
@@ -62,7 +61,6 @@
     jobs: &'a Jobs,
     quotas: Quotas,
     slots: Vec<Slot<'a>>,
-    max_per_host: usize,
     plan: Plan,
     stopped: HashSet<(String, TaskId)>,
     within: HashSet<String>,
@@ -107,7 +105,6 @@
         hosts: &'a Hosts,
         flavors: &[Flavor],
         quotas: &Quotas,
-        max_per_host: usize,
         now: f64,
     ) -> Pass<'a> {
         let sizes: HashMap<&str, Room> = flavors
@@ -124,7 +121,6 @@
                     whole,
                     free: whole.minus(&host.used()),
                     leaving: host.leaving(),
-                    binds: host.bindings.len(),
                 })
             })
             .collect();
@@ -132,7 +128,6 @@
             jobs,
             quotas: quotas.clone(),
             slots,
-            max_per_host,
             plan: Plan::default(),
             stopped: HashSet::new(),
             within: within_guarantee(jobs, quotas),
@@ -204,7 +199,6 @@
             };
             let chosen = &mut self.slots[slot];
             chosen.free = chosen.free.minus(&need);
-            chosen.binds += 1;
             *zones.entry(chosen.host.zone.clone()).or_default() += 1;
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
             self.plan.binds.push((task, chosen.host.name.clone()));
@@ -214,7 +208,6 @@
             for (_, name) in self.plan.binds.drain(before.0..) {
                 if let Some(slot) = self.slots.iter_mut().find(|s| s.host.name == name) {
                     slot.free = slot.free.plus(&need);
-                    slot.binds -= 1;
                 }
             }
             self.quotas = before.1;
@@ -298,7 +291,6 @@
             .filter(|i| {
                 let slot = &self.slots[*i];
                 slot.free.fits(need)
-                    && slot.binds < self.max_per_host
                     && !slot.host.steps.contains_key(task)
                     && Self::zone_allows(spec, zones, &slot.host.zone)
             })
@@ -339,7 +331,7 @@
         for i in &usable {
             let slot = &mut self.slots[*i];
             let room = slot.free.plus(&slot.leaving);
-            if room.fits(need) && slot.binds < self.max_per_host {
+            if room.fits(need) {
                 slot.leaving = slot.leaving.minus(need);
                 return true;
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -497,14 +497,18 @@
                     let reply = match outcome {
                         Outcome::Answer(r) => call.reply(r.status, &r.body),
                         // Certainly not executed, but no more is known of the service.
-                        Outcome::NotSent | Outcome::Silent => StoreReply::Silent,
+                        Outcome::NotSent | Outcome::Unreached | Outcome::Silent => {
+                            StoreReply::Silent
+                        }
                     };
                     self.controller.store_reply(tag, reply, now);
                 }
                 Waiting::Cloud(tag, call) => {
                     let reply = match outcome {
                         Outcome::Answer(r) => call.reply(r.status, &r.body),
-                        Outcome::NotSent | Outcome::Silent => CloudReply::Silent,
+                        Outcome::NotSent | Outcome::Unreached | Outcome::Silent => {
+                            CloudReply::Silent
+                        }
                     };
                     self.controller.cloud_reply(tag, reply, now);
                 }
@@ -512,6 +516,7 @@
                     let reply = match outcome {
                         Outcome::Answer(r) => WorkerCall::reply(r.status, &r.body),
                         Outcome::NotSent => WorkerReply::NotSent,
+                        Outcome::Unreached => WorkerReply::Unreached,
                         Outcome::Silent => WorkerReply::Silent,
                     };
                     self.controller.worker_reply(tag, reply, now);
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -188,8 +188,10 @@
     Done(Box<Report>),
     /// Nothing executed: token or session do not match.
     Mismatch(Box<Report>),
-    /// The call was never sent.
+    /// The call was never sent, for want of a connection to spare.
     NotSent,
+    /// The call was never sent: the worker takes no connection.
+    Unreached,
     /// No usable answer; the call may be executed at any later time.
     Silent,
 }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -14,8 +14,10 @@
 pub enum Outcome {
     /// The answer.
     Answer(Response),
-    /// It was certainly never sent.
+    /// It was certainly never sent: there was no connection to spare for it in time.
     NotSent,
+    /// It was certainly never sent: no connection came about.
+    Unreached,
     /// It was sent, or may have been; no answer.
     Silent,
 }
@@ -164,7 +166,7 @@
             let outcome = if conn.connected {
                 Outcome::Silent
             } else {
-                Outcome::NotSent
+                Outcome::Unreached
             };
             self.done.push((call.id, outcome));
         }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -1,28 +1,36 @@
-//! Transactions: what they are conditional on, and what follows from their answers.
+//! Transactions: what they are conditional on, what they write, and what follows from their answers.
 
 mod common;
 
 use cedarladder::bookkeeping::hosts::Hosts;
-use cedarladder::bookkeeping::jobs::Jobs;
+use cedarladder::bookkeeping::jobs::{Jobs, TaskSet};
 use cedarladder::bookkeeping::ledger::{Change, Ledger, TxnLimits};
-use cedarladder::bookkeeping::records::ProgressRecord;
+use cedarladder::bookkeeping::segment::{CHUNK, Segment, decode_chunk, encode_chunk};
+use cedarladder::protocol::cbor;
 use cedarladder::protocol::state::{Txn, Write};
 use common::{binding, host, job, spec, task};
 
 const EPOCH: u64 = 3;
+const VALUE_BYTES: usize = 2048;
 
-fn setup() -> (Ledger, Hosts, Jobs) {
-    let limits = TxnLimits {
+fn ledger() -> Ledger {
+    Ledger::new(TxnLimits {
         ops: 6,
-        value_bytes: 1024,
-    };
+        value_bytes: VALUE_BYTES,
+    })
+}
+
+/// A job with eight tasks, of which four are bound.
+fn tables() -> (Hosts, Jobs) {
     let mut hosts = Hosts::default();
     let mut jobs = Jobs::default();
     jobs.insert(job(spec("j-1", 8)));
-    for name in ["h1", "h2", "h3"] {
-        hosts.entry(name, || host(name, "a", false));
+    for (name, index) in [("h1", 0), ("h1", 1), ("h2", 2), ("h3", 4)] {
+        let known = hosts.entry(name, || host(name, "a", false));
+        let bound = binding(&spec("j-1", 8), 7);
+        known.bindings.insert(task("j-1", index), bound);
     }
-    (Ledger::new(limits), hosts, jobs)
+    (hosts, jobs)
 }
 
 fn bind(host: &str, index: u32) -> Change {
@@ -59,6 +67,17 @@
     (when, writes)
 }
 
+fn segment(txn: &Txn) -> Segment {
+    let Some(Write::Set { value, .. }) = txn.writes.first() else {
+        panic!("a segment first: {:?}", txn.writes);
+    };
+    assert!(
+        cbor::json_size(value) <= VALUE_BYTES,
+        "within a value's size"
+    );
+    cbor::from_value(value).expect("a segment")
+}
+
 #[test]
 fn conditions_and_writes() {
     type Case = (
@@ -66,43 +85,52 @@
         Vec<Change>,
         Vec<&'static str>,
         Vec<&'static str>,
+        [usize; 4],
     );
+    let slot = "log/00000=0";
+    // Entries: kinds of hosts, bindings, ends, chunks of completed tasks.
     let cases: Vec<Case> = vec![
         (
-            "a bind is conditional on leader, host and job",
+            "a bind is conditional on leader, slot and job",
             vec![bind("h1", 0)],
-            vec!["leader=3", "open/j-1=5", "host/h1=0"],
-            vec!["+host/h1"],
+            vec!["leader=3", slot, "open/j-1=5"],
+            vec!["+log/00000"],
+            [1, 1, 0, 0],
         ),
         (
-            "binds on one host share a write",
+            "binds share a write, and a host is described once",
             vec![bind("h1", 0), bind("h1", 1), bind("h2", 2)],
-            vec!["leader=3", "open/j-1=5", "host/h1=0", "host/h2=0"],
-            vec!["+host/h1", "+host/h2"],
+            vec!["leader=3", slot, "open/j-1=5"],
+            vec!["+log/00000"],
+            [2, 3, 0, 0],
         ),
         (
             "a done task is recorded with the end of its binding",
             vec![unbind("h3", 4, true)],
-            vec!["leader=3", "open/j-1=5", "host/h3=9", "progress/j-1/0=0"],
-            vec!["-host/h3", "+progress/j-1/0"],
+            vec!["leader=3", slot],
+            vec!["+log/00000"],
+            [0, 0, 1, 1],
         ),
         (
-            "a lost binding needs no open job",
+            "a lost binding completes nothing",
             vec![unbind("h3", 4, false)],
-            vec!["leader=3", "host/h3=9"],
-            vec!["-host/h3"],
+            vec!["leader=3", slot],
+            vec!["+log/00000"],
+            [0, 0, 1, 0],
         ),
         (
             "the end of a job moves it from open to over",
             vec![Change::End { job: "j-1".into() }],
-            vec!["leader=3", "open/j-1=5", "over/j-1=0"],
-            vec!["-open/j-1", "+over/j-1"],
+            vec!["leader=3", slot, "open/j-1=5", "over/j-1=0"],
+            vec!["+log/00000", "-open/j-1", "+over/j-1"],
+            [0, 0, 0, 0],
         ),
         (
             "a mark is written before anything is deleted",
             vec![Change::Mark { host: "h1".into() }],
-            vec!["leader=3", "host/h1=0"],
-            vec!["+host/h1"],
+            vec!["leader=3", slot],
+            vec!["+log/00000"],
+            [1, 0, 0, 0],
         ),
         (
             "a bind of a job that is over is void",
@@ -114,26 +142,14 @@
                 },
                 bind("h2", 2),
             ],
-            vec!["leader=3", "open/j-1=5", "host/h2=0"],
-            vec!["+host/h2"],
+            vec!["leader=3", slot, "open/j-1=5"],
+            vec!["+log/00000"],
+            [1, 1, 0, 0],
         ),
     ];
-    for (name, changes, when, writes) in cases {
-        let (mut ledger, mut hosts, mut jobs) = setup();
-        for (host, index) in [("h1", 0), ("h1", 1), ("h2", 2), ("h3", 4)] {
-            let spec = spec("j-1", 8);
-            let host = hosts.get_mut(host).unwrap();
-            host.bindings.insert(task("j-1", index), binding(&spec, 7));
-        }
-        let h3 = hosts.get_mut("h3").unwrap();
-        h3.stamp = 9;
-        h3.durable = h3.blank_record();
-        let kept = cedarladder::bookkeeping::hosts::Host::bound_task(
-            &task("j-1", 4),
-            &h3.bindings[&task("j-1", 4)],
-        );
-        h3.durable.steps.push(kept);
-        jobs.get_mut("j-1").unwrap().done.insert(4);
+    for (name, changes, when, writes, entries) in cases {
+        let (mut ledger, (hosts, mut jobs)) = (ledger(), tables());
+        jobs.get_mut("j-1").unwrap().complete(4);
         for change in changes {
             ledger.push(change);
         }
@@ -141,6 +157,9 @@
         let (got_when, got_writes) = keys(&txn);
         assert_eq!(got_when, when, "{name}");
         assert_eq!(got_writes, writes, "{name}");
+        let s = segment(&txn);
+        let got = [s.kinds.len(), s.binds.len(), s.ends.len(), s.done.len()];
+        assert_eq!(got, entries, "{name}");
         assert!(
             ledger.next(EPOCH, &hosts, &jobs, 100).is_none(),
             "{name}: one at a time"
@@ -148,51 +167,160 @@
     }
 }
 
+/// What becomes of a transaction and its changes after each answer.
 #[test]
-fn limits_and_answers() {
-    let (mut ledger, mut hosts, mut jobs) = setup();
-    for i in 0..10u32 {
-        let name = format!("g{i}");
-        let mut h = host(&name, "a", false);
-        h.bindings
-            .insert(task("j-1", i), binding(&spec("j-1", 8), 7));
-        hosts.entry(&name, || h);
-        ledger.push(bind(&name, i));
+fn answers() {
+    type Steps = fn(&mut Ledger) -> usize;
+    let cases: [(&str, Steps, usize, bool); 4] = [
+        ("committed", |l| l.committed(20).len(), 0, false),
+        (
+            "refused: all changes wait again",
+            |l| {
+                l.not_executed();
+                0
+            },
+            2,
+            false,
+        ),
+        (
+            "no answer: the same transaction once more, and nothing else",
+            |l| {
+                l.unanswered();
+                0
+            },
+            2,
+            true,
+        ),
+        (
+            "no answer, then found executed",
+            |l| {
+                l.unanswered();
+                l.committed(20).len()
+            },
+            0,
+            false,
+        ),
+    ];
+    for (name, steps, backlog, again) in cases {
+        let (mut ledger, (hosts, jobs)) = (ledger(), tables());
+        ledger.push(bind("h1", 0));
+        ledger.push(bind("h2", 2));
+        let first = ledger.next(EPOCH, &hosts, &jobs, 100).expect(name);
+        let witness = segment(&first);
+        assert!(ledger.is_witness(&witness), "{name}");
+        assert_eq!(steps(&mut ledger), 2 - backlog, "{name}");
+        assert_eq!(ledger.backlog(), backlog, "{name}");
+        assert_eq!(ledger.again(), again.then_some(first), "{name}");
+        if again {
+            ledger.push(bind("h1", 1));
+            assert!(ledger.next(EPOCH, &hosts, &jobs, 100).is_none(), "{name}");
+        }
+        // A segment of another leader, or another of our own, is no witness.
+        let other = Segment {
+            epoch: EPOCH + 1,
+            ..witness.clone()
+        };
+        assert!(!ledger.is_witness(&other), "{name}");
     }
-    let first = ledger.next(EPOCH, &hosts, &jobs, 100).unwrap();
-    assert_eq!(first.writes.len(), 6, "as many as a transaction takes");
-    ledger.not_executed();
-    assert_eq!(ledger.backlog(), 10, "refused: all changes wait again");
-    let second = ledger.next(EPOCH, &hosts, &jobs, 4).unwrap();
-    assert_eq!(second.writes.len(), 4, "as many as the budget has");
-    assert_eq!(second.writes[..], first.writes[..4], "in the same order");
-    let applied = ledger.committed(20, &mut hosts, &mut jobs);
-    assert_eq!(applied.len(), 4);
-    assert_eq!(hosts.get("g0").unwrap().stamp, 20);
-    assert_eq!(hosts.get("g0").unwrap().durable.steps.len(), 1);
+}
 
-    // No answer: of two binds the records show one.
-    let third = ledger.next(EPOCH, &hosts, &jobs, 2).unwrap();
-    assert_eq!(third.writes.len(), 2);
-    let shown = hosts.get_mut("g4").unwrap();
-    let kept = cedarladder::bookkeeping::hosts::Host::bound_task(
-        &task("j-1", 4),
-        &shown.bindings[&task("j-1", 4)],
-    );
-    shown.durable.steps.push(kept);
-    assert_eq!(ledger.reread(&hosts), vec![bind("g4", 4)]);
-    assert_eq!(ledger.backlog(), 5, "the other waits again");
+/// Thousands of bindings come and go while some stay for long: the ring stays small, every segment
+/// fits into a value, and the log always tells what is bound and done.
+#[test]
+fn the_log_tells_all_and_stays_small() {
+    let mut hosts = Hosts::default();
+    let mut jobs = Jobs::default();
+    jobs.insert(job(spec("j-1", 4000)));
+    let mut ledger = ledger();
+    let mut written: std::collections::BTreeMap<String, Segment> = Default::default();
+    let mut stamp = 10;
+    let mut changes = 0;
+    for round in 0..400u32 {
+        for i in 0..8 {
+            let index = round * 8 + i;
+            let name = format!("host-{:06}", index % 40);
+            let known = hosts.entry(&name, || host(&name, "a", false));
+            let mut bound = binding(&spec("j-1", 4000), 7);
+            bound.running = None;
+            known.bindings.insert(task("j-1", index), bound);
+            ledger.push(bind(&name, index));
+            // Every sixteenth stays; the others end four rounds later.
+            if let Some(old) = index.checked_sub(32).filter(|old| old % 16 != 0) {
+                jobs.get_mut("j-1").unwrap().complete(old);
+                ledger.push(unbind(&format!("host-{:06}", old % 40), old, true));
+            }
+        }
+        if round == 200 {
+            ledger.push(Change::Mark {
+                host: "host-000003".into(),
+            });
+        }
+        while let Some(txn) = ledger.next(EPOCH, &hosts, &jobs, 100) {
+            stamp += 1;
+            let Some(Write::Set { key, .. }) = txn.writes.first() else {
+                panic!("a segment");
+            };
+            written.insert(key.clone(), segment(&txn));
+            for change in ledger.committed(stamp) {
+                changes += 1;
+                match change {
+                    Change::Unbind { host, task, .. } => {
+                        hosts.get_mut(&host).unwrap().bindings.remove(&task);
+                    }
+                    Change::Mark { host } => hosts.get_mut(&host).unwrap().marked = true,
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert_eq!(ledger.backlog(), 0);
+    assert!(changes > 6000, "{changes} changes");
+    assert!(ledger.slots() <= 32, "{} slots", ledger.slots());
+
+    // Replay, as a new leader would.
+    let mut segments: Vec<&Segment> = written.values().collect();
+    segments.sort_by_key(|s| s.seq);
+    let mut bound = std::collections::BTreeSet::new();
+    let mut done = TaskSet::new(4000);
+    let mut marked = std::collections::BTreeMap::new();
+    for s in segments {
+        for kind in &s.kinds {
+            marked.insert(s.host(kind.0).unwrap().to_owned(), kind.5);
+        }
+        for b in &s.binds {
+            bound.insert((s.host(b.0).unwrap().to_owned(), b.2));
+        }
+        for e in &s.ends {
+            bound.remove(&(s.host(e.0).unwrap().to_owned(), e.2));
+        }
+        for (_, chunk, bits) in &s.done {
+            for index in decode_chunk(*chunk, bits) {
+                done.insert(index);
+            }
+        }
+    }
+    let expected: std::collections::BTreeSet<(String, u32)> = hosts
+        .iter()
+        .flat_map(|h| h.bindings.keys().map(|t| (h.name.clone(), t.index)))
+        .collect();
+    assert_eq!(bound, expected);
+    assert_eq!(done, jobs.get("j-1").unwrap().done);
+    assert_eq!(marked.len(), 40);
+    assert!(marked["host-000003"] && !marked["host-000004"]);
 }
 
 #[test]
-fn progress_round_trip() {
-    for (first, tasks) in [
+fn completed_tasks_round_trip() {
+    for (chunk, tasks) in [
         (0, vec![]),
-        (0, vec![0, 3, 4, 9]),
-        (2048, vec![2048, 2051, 2100]),
+        (0, vec![0, 3, 4, 9, CHUNK - 1]),
+        (2, vec![2 * CHUNK, 2 * CHUNK + 3, 2 * CHUNK + 52]),
     ] {
-        let flags = (first..first + 64).map(|i| tasks.contains(&i));
-        let record = ProgressRecord::encode(first, flags);
-        assert_eq!(record.tasks().collect::<Vec<_>>(), tasks);
+        let mut set = TaskSet::new(1000);
+        for index in &tasks {
+            set.insert(*index);
+        }
+        let bits = encode_chunk(&set, chunk, 1000);
+        assert_eq!(decode_chunk(chunk, &bits).collect::<Vec<_>>(), tasks);
     }
 }
