--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -36,6 +36,8 @@
 const MAX_EARLY: usize = 4096;
 /// Binds are put off while more changes than this wait to be written.
 const MAX_BACKLOG: usize = 600;
+/// Leases for which a job waits without a start before it goes first among its equals.
+const AGEING_LEASES: f64 = 6.0;
 /// Passes of the scheduler in a report interval, at most.
 const PASSES_PER_REPORT: f64 = 25.0;
 
@@ -368,7 +370,15 @@
         }
         self.schedule_due = false;
         self.schedule_at = now + self.settings.deployment.workers.report_s / PASSES_PER_REPORT;
-        let pass = Pass::new(&self.jobs, &self.hosts, &self.flavors, &self.quotas, now);
+        let patience_s = AGEING_LEASES * self.settings.deployment.workers.lease_s;
+        let pass = Pass::new(
+            &self.jobs,
+            &self.hosts,
+            &self.flavors,
+            &self.quotas,
+            patience_s,
+            now,
+        );
         let plan = pass.run(&mut self.rng);
         for (task, host) in plan.binds {
             self.bind(&task, &host, now);
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -8,7 +8,7 @@
 use crate::protocol::worker::TaskId;
 use rand::Rng;
 use rand::seq::index::sample;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 
 /// Hosts looked at for one job; where there are more, a random sample stands for all.
 const SAMPLE: usize = 64;
@@ -50,10 +50,52 @@
 
 struct Slot<'a> {
     host: &'a Host,
+    /// Number of its zone.
+    zone: usize,
     whole: Room,
     free: Room,
     /// Room that tasks being stopped will give, minus what it is already meant for.
     leaving: Room,
+    /// Its tasks that might be stopped for others; worked out when first asked for.
+    movable: Option<Vec<Movable<'a>>>,
+}
+
+/// A bound task that might be stopped for others.
+struct Movable<'a> {
+    task: &'a TaskId,
+    rank: Rank,
+    standing: bool,
+    team: &'a str,
+    need: Room,
+    /// Work that would be lost.
+    lost: f64,
+    stopped: bool,
+}
+
+/// A host that a job's tasks may go to, with what does not change while they are placed.
+struct Candidate {
+    slot: usize,
+    image: bool,
+    /// Ordinary, though the job may use spot machines.
+    dear: bool,
+}
+
+/// A job that is being placed.
+struct Placing<'a> {
+    spec: &'a JobSpec,
+    need: Room,
+    /// Its tasks in each zone, by the zone's number.
+    zones: Vec<u32>,
+}
+
+impl Placing<'_> {
+    fn zone_allows(&self, zone: usize) -> bool {
+        let here = self.zones.get(zone).copied().unwrap_or(0);
+        if self.spec.one_zone && here == 0 && self.zones.iter().any(|count| *count > 0) {
+            return false;
+        }
+        here < self.spec.zone_limit()
+    }
 }
 
 /// One pass over the waiting tasks.
@@ -61,9 +103,15 @@
     jobs: &'a Jobs,
     quotas: Quotas,
     slots: Vec<Slot<'a>>,
+    zones: Vec<&'a str>,
     plan: Plan,
-    stopped: HashSet<(String, TaskId)>,
     within: HashSet<String>,
+    /// Needs that found no free room on ordinary machines, or on any: room only shrinks in a pass.
+    hopeless: [Option<Room>; 2],
+    /// The lowest rank that has tasks bound.
+    lowest: Rank,
+    /// A job that has waited for so long without a start goes first among its equals.
+    patience_s: f64,
     now: f64,
 }
 
@@ -89,28 +137,22 @@
     within
 }
 
-/// The order in which jobs get room: priority, then within the guarantee, then those that can
-/// still be on time, the earliest deadline first.
-fn order_key(job: &Job, within: &HashSet<String>, now: f64) -> (Rank, bool, bool, f64) {
-    let within = within.contains(&job.spec.id);
-    let due = job.due.unwrap_or(job.since);
-    let late = job.due.is_some_and(|due| due < now);
-    (job.spec.rank, !within, late, due)
-}
-
 impl<'a> Pass<'a> {
-    /// Prepares a pass.
+    /// Prepares a pass. A job that has waited for `patience_s` without a start goes first among its
+    /// equals.
     pub fn new(
         jobs: &'a Jobs,
         hosts: &'a Hosts,
         flavors: &[Flavor],
         quotas: &Quotas,
+        patience_s: f64,
         now: f64,
     ) -> Pass<'a> {
         let sizes: HashMap<&str, Room> = flavors
             .iter()
             .map(|f| (f.name.as_str(), Room::of_flavor(f)))
             .collect();
+        let mut zones: Vec<&str> = Vec::new();
         let slots = hosts
             .iter()
             .filter(|host| host.usable() && host.errors < MAX_ERRORS)
@@ -118,19 +160,28 @@
                 let whole = *sizes.get(host.flavor.as_str())?;
                 Some(Slot {
                     host,
+                    zone: number_of(&mut zones, &host.zone),
                     whole,
                     free: whole.minus(&host.used()),
                     leaving: host.leaving(),
+                    movable: None,
                 })
             })
             .collect();
+        let bound = jobs.iter().filter(|job| !job.bound.is_empty());
         Pass {
             jobs,
             quotas: quotas.clone(),
             slots,
+            zones,
             plan: Plan::default(),
-            stopped: HashSet::new(),
             within: within_guarantee(jobs, quotas),
+            hopeless: [None, None],
+            lowest: bound
+                .map(|job| job.spec.rank)
+                .max()
+                .unwrap_or(Rank::Production),
+            patience_s,
             now,
         }
     }
@@ -138,284 +189,388 @@
     /// Decides.
     pub fn run(mut self, rng: &mut impl Rng) -> Plan {
         let now = self.now;
-        let mut order: Vec<((Rank, bool, bool, f64), String)> = self
+        let mut order: Vec<(OrderKey, &Job)> = self
             .jobs
             .iter()
             .filter(|job| now >= job.not_before && job.waiting() > 0)
             .filter(|job| job.spec.shape != Shape::Group || job.bound.is_empty())
-            .map(|job| (order_key(job, &self.within, now), job.spec.id.clone()))
+            .map(|job| (self.order_key(job), job))
             .collect();
         order.sort_by(|(a, x), (b, y)| {
-            (a.0, a.1, a.2)
-                .cmp(&(b.0, b.1, b.2))
-                .then(a.3.total_cmp(&b.3))
-                .then(x.cmp(y))
+            (a.rank, a.beyond, a.patient, a.late)
+                .cmp(&(b.rank, b.beyond, b.patient, b.late))
+                .then(a.due.total_cmp(&b.due))
+                .then(x.spec.id.cmp(&y.spec.id))
         });
-        for (_, id) in order {
-            self.place_job(&id, rng);
+        for (key, job) in order {
+            self.place_job(job, !key.patient, rng);
         }
         self.plan
     }
 
-    fn place_job(&mut self, id: &str, rng: &mut impl Rng) {
-        let Some(job) = self.jobs.get(id) else { return };
-        let spec = job.spec.clone();
+    fn order_key(&self, job: &Job) -> OrderKey {
+        OrderKey {
+            rank: job.spec.rank,
+            beyond: !self.within.contains(&job.spec.id),
+            patient: job.begun() || self.now - job.since < self.patience_s,
+            late: job.due.is_some_and(|due| due < self.now),
+            due: job.due.unwrap_or(job.since),
+        }
+    }
+
+    fn place_job(&mut self, job: &'a Job, starving: bool, rng: &mut impl Rng) {
+        let spec = &job.spec;
         let waiting = job.waiting();
-        let age_s = self.now - job.waiting_since;
-        let mut zones = job.zones.clone();
-        let tasks: Vec<u32> = job.waiting_tasks().take(MAX_BINDS).collect();
-        let need = need(&spec);
-        let mut candidates = self.candidates(&spec, rng);
-        let mut placed = 0;
-        // The tasks of a group start together or not at all; what has been tried is taken back.
-        let together = spec.shape == Shape::Group;
-        let before = (self.plan.binds.len(), self.quotas.clone());
-        // Tasks that the machines with room still show from an attempt that may come back; they
-        // need another machine.
-        let mut barred = 0;
-        let mut limited = false;
-        for index in tasks {
-            if self.plan.binds.len() >= MAX_BINDS {
-                break;
-            }
-            limited = !self.quotas.fits(&spec.team, spec.cpus, spec.gpus);
-            if limited {
-                break;
-            }
-            if spec.one_zone && zones.is_empty() {
-                self.choose_zone(&mut candidates, &need);
-            }
-            let task = TaskId {
-                job: id.to_owned(),
-                index,
-            };
-            let Some(slot) = self.best_slot(&candidates, &spec, &need, &zones, &task) else {
-                let shown = |i: &usize| self.slots[*i].host.steps.contains_key(&task);
-                if candidates.iter().any(shown) {
-                    barred += 1;
-                    continue;
-                }
-                break;
-            };
-            let chosen = &mut self.slots[slot];
-            chosen.free = chosen.free.minus(&need);
-            *zones.entry(chosen.host.zone.clone()).or_default() += 1;
-            self.quotas.take(&spec.team, spec.cpus, spec.gpus);
-            self.plan.binds.push((task, chosen.host.name.clone()));
-            placed += 1;
+        let mut placing = Placing {
+            spec,
+            need: need(spec),
+            zones: vec![0; self.zones.len()],
+        };
+        for (zone, count) in &job.zones {
+            let number = number_of(&mut self.zones, zone);
+            placing.zones.resize(self.zones.len(), 0);
+            placing.zones[number] = *count;
         }
-        if together && placed < waiting {
-            for (_, name) in self.plan.binds.drain(before.0..) {
+        // The tasks of a group start together or not at all; what has been tried is taken back, and
+        // only what is beyond the room there was counts as missing.
+        let together = spec.shape == Shape::Group;
+        let before = together.then(|| (self.plan.binds.len(), self.quotas.clone()));
+        let (placed, barred, limited) = self.place_tasks(job, &mut placing, rng);
+        if let Some((first, quotas)) = before
+            && placed < waiting
+        {
+            for (_, name) in self.plan.binds.drain(first..) {
                 if let Some(slot) = self.slots.iter_mut().find(|s| s.host.name == name) {
-                    slot.free = slot.free.plus(&need);
+                    slot.free = slot.free.plus(&placing.need);
                 }
             }
-            self.quotas = before.1;
-            zones.clear();
-            placed = 0;
+            self.quotas = quotas;
+            placing.zones.fill(0);
         }
         if limited {
             // More room would not help: the team's limit holds them back.
             return;
         }
         let mut missing = waiting - placed - barred;
-        while missing > 0 && self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
-            if !self.make_room(&candidates, &spec, &need, &zones) {
-                break;
-            }
+        let fits = |quotas: &Quotas| quotas.fits(&spec.team, spec.cpus, spec.gpus);
+        while missing > 0 && fits(&self.quotas) && self.make_room(&placing, rng) {
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
             missing -= 1;
         }
+        if starving && missing > 0 && placed == 0 {
+            self.reserve(&placing);
+        }
         let missing = (missing + barred).min(self.quotas.room(&spec.team, spec.cpus, spec.gpus));
         if missing > 0 {
             self.plan.unplaced.push(Unplaced {
-                job: id.to_owned(),
+                job: spec.id.clone(),
                 count: missing,
-                age_s,
+                age_s: self.now - job.waiting_since,
             });
         }
     }
 
-    fn candidates(&self, spec: &JobSpec, rng: &mut impl Rng) -> Vec<usize> {
-        let all: Vec<usize> = (0..self.slots.len())
-            .filter(|i| {
-                let host = self.slots[*i].host;
-                spec.allows(&host.flavor, &host.zone, host.spot)
-            })
-            .collect();
-        if all.len() <= SAMPLE {
-            return all;
+    /// Places what has room. Returns how many were placed, how many found only machines that still
+    /// show them from an attempt that may come back, and whether the team's limit ended it.
+    fn place_tasks(
+        &mut self,
+        job: &Job,
+        placing: &mut Placing,
+        rng: &mut impl Rng,
+    ) -> (u32, u32, bool) {
+        let spec = placing.spec;
+        let (mut placed, mut barred) = (0, 0);
+        let mut candidates = self.candidates(placing, rng);
+        if spec.one_zone && placing.zones.iter().all(|count| *count == 0) {
+            self.choose_zone(&mut candidates, &placing.need);
         }
-        sample(rng, all.len(), SAMPLE)
-            .iter()
-            .map(|i| all[i])
-            .collect()
+        for index in job.waiting_tasks().take(MAX_BINDS) {
+            if self.plan.binds.len() >= MAX_BINDS {
+                break;
+            }
+            if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
+                return (placed, barred, true);
+            }
+            let task = TaskId {
+                job: spec.id.clone(),
+                index,
+            };
+            let mut found = self.best_slot(&candidates, placing, &task);
+            if found.is_none() && candidates.len() >= SAMPLE {
+                // The sample is used up; the rest may still have room.
+                candidates = self.candidates(placing, rng);
+                found = self.best_slot(&candidates, placing, &task);
+            }
+            let Some(slot) = found else {
+                let shown = |c: &Candidate| self.slots[c.slot].host.steps.contains_key(&task);
+                if candidates.iter().any(shown) {
+                    barred += 1;
+                    continue;
+                }
+                break;
+            };
+            let chosen = &mut self.slots[slot];
+            chosen.free = chosen.free.minus(&placing.need);
+            placing.zones[chosen.zone] += 1;
+            self.quotas.take(&spec.team, spec.cpus, spec.gpus);
+            self.plan.binds.push((task, chosen.host.name.clone()));
+            placed += 1;
+        }
+        (placed, barred, false)
     }
 
-    /// For a job that must stay in one zone and has no task anywhere: the zone with most room.
-    fn choose_zone(&self, candidates: &mut Vec<usize>, need: &Room) {
-        let mut room: BTreeMap<&str, u32> = BTreeMap::new();
-        for i in candidates.iter() {
-            let slot = &self.slots[*i];
-            *room.entry(&slot.host.zone).or_default() += slot.free.count(need);
+    /// Whether the job's tasks may go to a host at all.
+    fn allows(&self, placing: &Placing, slot: &Slot) -> bool {
+        let host = slot.host;
+        placing.spec.allows(&host.flavor, &host.zone, host.spot) && placing.zone_allows(slot.zone)
+    }
+
+    /// Hosts with room for a task of the job; where there are many, a random sample.
+    fn candidates(&mut self, placing: &Placing, rng: &mut impl Rng) -> Vec<Candidate> {
+        let spec = placing.spec;
+        let need = &placing.need;
+        let kind = usize::from(spec.spot);
+        if self.hopeless[kind].is_some_and(|known| need.fits(&known)) {
+            return Vec::new();
         }
-        if let Some(zone) = room
-            .into_iter()
-            .max_by_key(|(_, count)| *count)
-            .map(|(zone, _)| zone.to_owned())
-        {
-            candidates.retain(|i| self.slots[*i].host.zone == zone);
+        let mut all: Vec<usize> = (0..self.slots.len())
+            .filter(|i| self.slots[*i].free.fits(need) && self.allows(placing, &self.slots[*i]))
+            .collect();
+        let anywhere = spec.flavors.is_none() && spec.zone.is_none();
+        if all.is_empty() && anywhere && !spec.one_zone && !spec.spread {
+            self.hopeless[kind] = Some(*need);
+        }
+        if all.len() > SAMPLE {
+            all = sample(rng, all.len(), SAMPLE)
+                .iter()
+                .map(|i| all[i])
+                .collect();
         }
+        all.into_iter()
+            .map(|slot| {
+                let host = self.slots[slot].host;
+                Candidate {
+                    slot,
+                    image: host.images.contains(&spec.image),
+                    dear: spec.spot && !host.spot,
+                }
+            })
+            .collect()
     }
 
-    fn zone_allows(spec: &JobSpec, zones: &HashMap<String, u32>, zone: &str) -> bool {
-        if spec.one_zone && !zones.is_empty() && !zones.contains_key(zone) {
-            return false;
+    /// For a job that must stay in one zone and has no task anywhere: the zone with most room.
+    fn choose_zone(&self, candidates: &mut Vec<Candidate>, need: &Room) {
+        let mut room = vec![0; self.zones.len()];
+        for candidate in candidates.iter() {
+            let slot = &self.slots[candidate.slot];
+            room[slot.zone] += slot.free.count(need);
         }
-        zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
+        let most = (0..room.len()).max_by_key(|zone| room[*zone]);
+        candidates.retain(|c| Some(self.slots[c.slot].zone) == most);
     }
 
     /// The host that a task goes to: for jobs that may use spot machines those first; fewer
     /// replicas in the zone; the image at hand; then the fullest.
     fn best_slot(
         &self,
-        candidates: &[usize],
-        spec: &JobSpec,
-        need: &Room,
-        zones: &HashMap<String, u32>,
+        candidates: &[Candidate],
+        placing: &Placing,
         task: &TaskId,
     ) -> Option<usize> {
+        let spec = placing.spec;
         candidates
             .iter()
-            .copied()
-            .filter(|i| {
-                let slot = &self.slots[*i];
-                slot.free.fits(need)
+            .filter(|c| {
+                let slot = &self.slots[c.slot];
+                slot.free.fits(&placing.need)
+                    && placing.zone_allows(slot.zone)
                     && !slot.host.steps.contains_key(task)
-                    && Self::zone_allows(spec, zones, &slot.host.zone)
             })
             .min_by(|a, b| {
-                let key = |i: usize| {
-                    let slot = &self.slots[i];
+                let key = |c: &Candidate| {
+                    let slot = &self.slots[c.slot];
                     let replicas = if spec.spread {
-                        zones.get(&slot.host.zone).copied().unwrap_or(0)
+                        placing.zones[slot.zone]
                     } else {
                         0
                     };
-                    let image = slot.host.images.contains(&spec.image);
-                    let left = slot.free.minus(need).share_of(&slot.whole);
+                    let left = slot.free.minus(&placing.need).share_of(&slot.whole);
                     // What must start soon goes first of all where nothing has to be fetched.
-                    let fetch = spec.rank <= Rank::Urgent && !image;
-                    (fetch, spec.spot && !slot.host.spot, replicas, !image, left)
+                    let fetch = spec.rank <= Rank::Urgent && !c.image;
+                    ((fetch, c.dear, replicas, !c.image), left)
                 };
-                let (a, b) = (key(*a), key(*b));
-                (a.0, a.1, a.2, a.3)
-                    .cmp(&(b.0, b.1, b.2, b.3))
-                    .then(a.4.total_cmp(&b.4))
+                let (a, b) = (key(a), key(b));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
             })
+            .map(|c| c.slot)
     }
 
     /// Finds room that is about to be given up, or stops tasks of lower standing for it.
-    fn make_room(
-        &mut self,
-        candidates: &[usize],
-        spec: &JobSpec,
-        need: &Room,
-        zones: &HashMap<String, u32>,
-    ) -> bool {
-        let usable: Vec<usize> = candidates
-            .iter()
-            .copied()
-            .filter(|i| Self::zone_allows(spec, zones, &self.slots[*i].host.zone))
+    fn make_room(&mut self, placing: &Placing, rng: &mut impl Rng) -> bool {
+        let usable: Vec<usize> = (0..self.slots.len())
+            .filter(|i| self.allows(placing, &self.slots[*i]))
             .collect();
+        let need = &placing.need;
         for i in &usable {
             let slot = &mut self.slots[*i];
-            let room = slot.free.plus(&slot.leaving);
-            if room.fits(need) {
+            if slot.leaving != Room::default() && slot.free.plus(&slot.leaving).fits(need) {
                 slot.leaving = slot.leaving.minus(need);
                 return true;
             }
         }
+        let spec = placing.spec;
         let within = self.within.contains(&spec.id);
-        let best = usable
+        if spec.rank >= self.lowest && !within {
+            return false;
+        }
+        let count = usable.len().min(SAMPLE);
+        let sampled: Vec<usize> = sample(rng, usable.len(), count)
             .iter()
-            .filter_map(|i| self.victims(*i, spec, need, within).map(|v| (*i, v)))
-            .min_by(|(i, a), (j, b)| {
-                let fetch = |i: usize| !self.slots[i].host.images.contains(&spec.image);
-                fetch(*i).cmp(&fetch(*j)).then(a.1.total_cmp(&b.1))
-            });
-        let Some((i, (victims, _))) = best else {
+            .map(|i| usable[i])
+            .collect();
+        let mut best: Option<(bool, f64, usize, usize)> = None;
+        for i in sampled {
+            self.list_movable(i);
+            let Some((count, lost)) = self.victims(i, placing, within) else {
+                continue;
+            };
+            let fetch = !self.slots[i].host.images.contains(&spec.image);
+            let better = best.is_none_or(|(f, l, ..)| (fetch, lost) < (f, l));
+            if better {
+                best = Some((fetch, lost, i, count));
+            }
+        }
+        let Some((_, _, i, count)) = best else {
             return false;
         };
-        if self.plan.halts.len() + victims.len() > MAX_HALTS {
+        if self.plan.halts.len() + count > MAX_HALTS {
             return false;
         }
-        let name = self.slots[i].host.name.clone();
-        for task in victims {
-            if let Some(binding) = self.slots[i].host.bindings.get(&task) {
-                let freed = binding.need;
-                self.slots[i].leaving = self.slots[i].leaving.plus(&freed);
-            }
-            self.stopped.insert((name.clone(), task.clone()));
-            self.plan.halts.push((name.clone(), task));
-        }
-        self.slots[i].leaving = self.slots[i].leaving.minus(need);
+        self.stop(i, placing, within, count);
         true
     }
 
-    /// The tasks of lower standing on a host that would have to stop, the least work lost first,
-    /// and the work lost.
-    fn victims(
-        &self,
-        i: usize,
-        spec: &JobSpec,
-        need: &Room,
-        within: bool,
-    ) -> Option<(Vec<TaskId>, f64)> {
-        let slot = &self.slots[i];
-        let mut movable: Vec<(&TaskId, f64, Room)> = slot
-            .host
+    fn list_movable(&mut self, i: usize) {
+        if self.slots[i].movable.is_some() {
+            return;
+        }
+        let host = self.slots[i].host;
+        let mut movable: Vec<Movable> = host
             .bindings
             .iter()
-            .filter(|(task, b)| {
-                b.halt.is_none()
-                    && !b.ending
-                    && !self
-                        .stopped
-                        .contains(&(slot.host.name.clone(), (*task).clone()))
-            })
-            .filter(|(task, b)| {
-                let Some(victim) = self.jobs.get(&task.job) else {
-                    return false;
-                };
-                let below = victim.spec.rank > spec.rank;
-                let borrowed = within
-                    && !victim.standing()
-                    && victim.spec.team != spec.team
-                    && self
-                        .quotas
-                        .beyond_without(&b.team, b.need.cpus, b.need.gpus);
-                below || borrowed
-            })
-            .map(|(task, b)| {
-                let lost = b.running.map_or(0.0, |since| self.now - since) * b.need.cpus.max(0.1);
-                (task, lost, b.need)
+            .filter(|(_, b)| b.halt.is_none() && !b.ending)
+            .filter_map(|(task, b)| {
+                let job = self.jobs.get(&task.job)?;
+                let ran_s = b.running.map_or(0.0, |since| self.now - since);
+                Some(Movable {
+                    task,
+                    rank: job.spec.rank,
+                    standing: job.standing(),
+                    team: &b.team,
+                    need: b.need,
+                    lost: ran_s * b.need.cpus.max(0.1),
+                    stopped: false,
+                })
             })
             .collect();
-        movable.sort_by(|a, b| a.1.total_cmp(&b.1));
+        movable.sort_by(|a, b| a.lost.total_cmp(&b.lost));
+        self.slots[i].movable = Some(movable);
+    }
+
+    /// Whether a task may be stopped for this job: it ranks lower, or its team has borrowed what
+    /// this job's team is guaranteed.
+    fn may_stop(&self, victim: &Movable, placing: &Placing, within: bool) -> bool {
+        let need = &victim.need;
+        let borrowed = || {
+            within
+                && !victim.standing
+                && victim.team != placing.spec.team
+                && self
+                    .quotas
+                    .beyond_without(victim.team, need.cpus, need.gpus)
+        };
+        !victim.stopped && (victim.rank > placing.spec.rank || borrowed())
+    }
+
+    /// How many of a host's tasks would have to stop, the least work lost first, and the work lost.
+    fn victims(&self, i: usize, placing: &Placing, within: bool) -> Option<(usize, f64)> {
+        let slot = &self.slots[i];
         let mut room = slot.free.plus(&slot.leaving);
-        let mut victims = Vec::new();
-        let mut cost = 0.0;
-        for (task, lost, freed) in movable {
-            if room.fits(need) {
+        let mut lost = 0.0;
+        let mut count = 0;
+        for victim in slot.movable.iter().flatten() {
+            if room.fits(&placing.need) {
                 break;
             }
-            room = room.plus(&freed);
-            cost += lost;
-            victims.push(task.clone());
+            if self.may_stop(victim, placing, within) {
+                room = room.plus(&victim.need);
+                lost += victim.lost;
+                count += 1;
+            }
+        }
+        (count > 0 && room.fits(&placing.need)).then_some((count, lost))
+    }
+
+    fn stop(&mut self, i: usize, placing: &Placing, within: bool, count: usize) {
+        let mut movable = self.slots[i].movable.take().unwrap_or_default();
+        let mut left = count;
+        for victim in &mut movable {
+            if left > 0 && self.may_stop(victim, placing, within) {
+                left -= 1;
+                victim.stopped = true;
+                let slot = &mut self.slots[i];
+                slot.leaving = slot.leaving.plus(&victim.need);
+                let halt = (slot.host.name.clone(), victim.task.clone());
+                self.plan.halts.push(halt);
+            }
         }
-        (room.fits(need) && !victims.is_empty()).then_some((victims, cost))
+        let slot = &mut self.slots[i];
+        slot.leaving = slot.leaving.minus(&placing.need);
+        slot.movable = Some(movable);
     }
+
+    /// Keeps the freest host for a job that has waited for long, so that small tasks of others don't
+    /// fill every gap before a large one fits.
+    fn reserve(&mut self, placing: &Placing) {
+        let freest = (0..self.slots.len())
+            .filter(|i| {
+                let slot = &self.slots[*i];
+                slot.whole.fits(&placing.need) && self.allows(placing, slot)
+            })
+            .max_by(|a, b| {
+                let free = |i: usize| {
+                    let slot = &self.slots[i];
+                    slot.free.plus(&slot.leaving).share_of(&slot.whole)
+                };
+                free(*a).total_cmp(&free(*b)).then(b.cmp(a))
+            });
+        if let Some(i) = freest {
+            let slot = &mut self.slots[i];
+            slot.free = slot.free.minus(&placing.need);
+        }
+    }
+}
+
+/// The number of a zone.
+fn number_of<'a>(zones: &mut Vec<&'a str>, zone: &'a str) -> usize {
+    match zones.iter().position(|known| *known == zone) {
+        Some(number) => number,
+        None => {
+            zones.push(zone);
+            zones.len() - 1
+        }
+    }
+}
+
+/// The order in which jobs get room: priority, then within the guarantee, then those that have
+/// waited for long without a start, then those that can still be on time, the earliest deadline
+/// first.
+struct OrderKey {
+    rank: Rank,
+    beyond: bool,
+    patient: bool,
+    late: bool,
+    due: f64,
 }
 
 /// Failed starts in a row after which a host gets no more work.
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -48,7 +48,7 @@
 
     fn run(&self) -> Plan {
         let flavors = [flavor("f")];
-        let pass = Pass::new(&self.jobs, &self.hosts, &flavors, &self.quotas, 100.0);
+        let pass = Pass::new(&self.jobs, &self.hosts, &flavors, &self.quotas, 50.0, 100.0);
         pass.run(&mut SmallRng::seed_from_u64(1))
     }
 }
