--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -58,6 +58,10 @@
     pub since: f64,
     /// When it should be complete: its deadline, or its class's objective.
     pub due: Option<f64>,
+    /// Its tasks should start within so long.
+    pub prompt_s: Option<f64>,
+    /// It can wait until then, rather than stop other work.
+    pub patient_until: f64,
     /// Completed tasks, written down or about to be.
     pub done: TaskSet,
     /// Where tasks are bound; a task may show up on several hosts after failures.
@@ -87,6 +91,8 @@
         let due = spec.due_s.map(|due| since + due);
         Job {
             due,
+            prompt_s: None,
+            patient_until: since,
             spec,
             stamp,
             since,
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: what is rented, what is given back, and the cloud's list.
 
-use super::Leader;
+use super::{EXPECT_MARGIN, Leader};
 use crate::bookkeeping::budget::Bucket;
 use crate::bookkeeping::hosts::{Host, Room};
 use crate::bookkeeping::ledger::Change;
@@ -12,7 +12,7 @@
 use crate::protocol::cloud::{
     CloudCall, CloudReply, Flavor, MAX_DELETE, MAX_RENT, Machine, MachineStatus, Rental,
 };
-use crate::protocol::job::JobSpec;
+use crate::protocol::job::{JobSpec, Rank};
 use crate::protocol::state::Write;
 use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -54,6 +54,10 @@
 struct Renting {
     record: RentalRecord,
     stage: Stage,
+    /// The most urgent work that it is for, and the order within that.
+    turn: (Rank, u64),
+    /// It may have reached the cloud.
+    sent: bool,
 }
 
 impl Renting {
@@ -116,7 +120,9 @@
 
 /// Share of the cloud's limit that the leader uses; the rest is for the catalogue and for a leader
 /// that has just been deposed.
-const CLOUD_SHARE: f64 = 0.5;
+const CLOUD_SHARE: f64 = 0.8;
+/// Seconds' worth of the leader's share that may be used at once.
+const CLOUD_BURST_S: f64 = 1.5;
 /// Usual boot times within which most machines are up. Those that are not are no longer counted on.
 const BOOT_USUAL: f64 = 1.5;
 /// Usual boot times after which a machine that is not up is given back.
@@ -125,10 +131,10 @@
 const MISSED_REPORTS: f64 = 2.0;
 /// Report intervals without any report, from whatever worker, that are more than chance.
 const QUIET_REPORTS: f64 = 1.25;
+/// Machines asked for at a time in one pool; what is there of them shows soon enough.
+const MAX_RENTED: u32 = 8 * MAX_RENT;
 /// Longest time for which a refused pool is left alone, in boot times.
 const MAX_BLOCK: f64 = 4.0;
-/// Estimates are often wrong by half.
-const EXPECT_MARGIN: f64 = 1.5;
 /// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
 const MAX_FITTED: u32 = 4000;
 
@@ -142,7 +148,10 @@
             rentals: BTreeMap::new(),
             pools: BTreeMap::new(),
             gone: HashMap::new(),
-            calls: Bucket::new(cloud.rps * CLOUD_SHARE, (cloud.rps * CLOUD_SHARE).max(1.0)),
+            calls: Bucket::new(
+                cloud.rps * CLOUD_SHARE,
+                (cloud.rps * CLOUD_SHARE * CLOUD_BURST_S).max(1.0),
+            ),
             listing: Vec::new(),
             list_busy: false,
             list_at: 0.0,
@@ -163,9 +172,13 @@
 
     /// Takes over a rental that an earlier leader wrote down.
     pub(super) fn inherit_rental(&mut self, bid: &str, record: RentalRecord) {
-        let stage = Stage::Ready(0.0);
-        self.rentals
-            .insert(bid.to_owned(), Renting { record, stage });
+        let renting = Renting {
+            record,
+            stage: Stage::Ready(0.0),
+            turn: (Rank::Production, 0),
+            sent: true,
+        };
+        self.rentals.insert(bid.to_owned(), renting);
     }
 
     /// A rental's record was written or removed.
@@ -208,6 +221,8 @@
         let pool = self.pools.entry(key.clone()).or_default();
         pool.block_s = (pool.block_s * 2.0).clamp(ready_s / 2.0, ready_s * MAX_BLOCK);
         pool.blocked_until = now + pool.block_s;
+        // What it can't give is asked of others soon.
+        self.scale_at = self.scale_at.min(now + self.report_s / 5.0);
     }
 }
 
@@ -219,6 +234,10 @@
     }
 }
 
+fn is_in(host: &Host, pool: &PoolKey) -> bool {
+    host.spot == pool.spot && host.zone == pool.zone && host.flavor == pool.flavor
+}
+
 /// A machine that is on its way or would be rented, with the room that is left on it.
 struct Bin {
     pool: usize,
@@ -241,6 +260,8 @@
 
 #[derive(Default, Clone)]
 struct Demand {
+    /// The most urgent work.
+    rank: Option<Rank>,
     pending: u32,
     oldest_s: f64,
     expect_s: f64,
@@ -304,12 +325,23 @@
         let ready = fleet
             .rentals
             .iter_mut()
-            .find(|(_, rental)| matches!(rental.stage, Stage::Ready(at) if now >= at));
+            .filter(|(_, rental)| matches!(rental.stage, Stage::Ready(at) if now >= at))
+            .min_by_key(|(_, rental)| rental.turn);
         let Some((bid, rental)) = ready else { return };
+        let pool = fleet.pools.get(&rental.pool());
+        if !rental.sent && pool.is_some_and(|pool| now < pool.blocked_until) {
+            // The pool has turned out to be sold out; the next round asks elsewhere.
+            rental.stage = Stage::Settling;
+            self.ledger.push(Change::Put {
+                write: Write::remove(records::rental(bid)),
+            });
+            return;
+        }
         if !fleet.calls.take(1.0, now) {
             return;
         }
         rental.stage = Stage::Calling;
+        rental.sent = true;
         fleet.rent_busy = true;
         let call = CloudCall::Rent(Rental {
             bid: bid.clone(),
@@ -593,7 +625,7 @@
             let booting = self
                 .hosts
                 .iter()
-                .filter(|h| !h.returning && h.heard.is_none() && key_of(h) == offer.key)
+                .filter(|h| !h.returning && h.heard.is_none() && is_in(h, &offer.key))
                 .filter(|h| now - h.since <= BOOT_USUAL * offer.flavor.ready_s)
                 .count() as u32;
             let expected: u32 = self
@@ -631,17 +663,21 @@
                 let ready_s = offer.flavor.ready_s;
                 spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
+            // Bins that have no room for one task have none for the next.
+            let mut from = 0;
             for _ in 0..unplaced.count.min(left) {
                 left -= 1;
-                let Some(bin) = fit(offers, bins, spec, &need, &zones, patient) else {
+                let Some(bin) = fit(offers, bins, from, spec, &need, &zones, patient) else {
                     break;
                 };
+                from = bin;
                 let bin = &mut bins[bin];
                 bin.free = bin.free.minus(&need);
                 bin.used = true;
                 let offer = &offers[bin.pool];
                 *zones.entry(offer.key.zone.clone()).or_default() += 1;
                 let pool = &mut demand[bin.pool];
+                pool.rank = Some(pool.rank.map_or(spec.rank, |rank| rank.min(spec.rank)));
                 pool.pending += 1;
                 pool.oldest_s = pool.oldest_s.max(unplaced.age_s);
                 pool.expect_s += spec.expect_s;
@@ -659,7 +695,7 @@
         let mut standing = Room::default();
         let mut used = Room::default();
         for host in self.hosts.iter() {
-            if host.returning || host.taken_at.is_some() || key_of(host) != *key {
+            if host.returning || host.taken_at.is_some() || !is_in(host, key) {
                 continue;
             }
             let overdue = host.heard.is_none()
@@ -757,14 +793,14 @@
             .values()
             .any(|rental| rental.pool() == *key && rental.expected() > 0);
         if decision.target > machines && !offer.blocked && !unfinished {
-            self.rent(key, decision.target - machines);
+            self.rent(key, demand.rank, decision.target - machines);
         }
         let surplus = machines.saturating_sub(decision.target) as usize;
         let mut idle: Vec<&Host> = self
             .hosts
             .iter()
             .filter(|host| {
-                key_of(host) == *key
+                is_in(host, key)
                     && !host.returning
                     && host.heard.is_some()
                     && host.bindings.is_empty()
@@ -783,20 +819,29 @@
         back
     }
 
-    fn rent(&mut self, key: &PoolKey, count: u32) {
-        self.fleet.bids += 1;
-        let bid = format!("r-{}-{}", self.epoch, self.fleet.bids);
-        let record = RentalRecord {
-            flavor: key.flavor.clone(),
-            zone: key.zone.clone(),
-            spot: key.spot,
-            count: count.min(MAX_RENT),
-        };
-        self.ledger.push(Change::Put {
-            write: Write::set(records::rental(&bid), &record),
-        });
-        let stage = Stage::Writing;
-        self.fleet.rentals.insert(bid, Renting { record, stage });
+    fn rent(&mut self, key: &PoolKey, rank: Option<Rank>, count: u32) {
+        let mut left = count.min(MAX_RENTED);
+        while left > 0 {
+            self.fleet.bids += 1;
+            let bid = format!("r-{}-{}", self.epoch, self.fleet.bids);
+            let record = RentalRecord {
+                flavor: key.flavor.clone(),
+                zone: key.zone.clone(),
+                spot: key.spot,
+                count: left.min(MAX_RENT),
+            };
+            left -= record.count;
+            self.ledger.push(Change::Put {
+                write: Write::set(records::rental(&bid), &record),
+            });
+            let renting = Renting {
+                record,
+                stage: Stage::Writing,
+                turn: (rank.unwrap_or(Rank::BestEffort), self.fleet.bids),
+                sent: false,
+            };
+            self.fleet.rentals.insert(bid, renting);
+        }
     }
 }
 
@@ -805,6 +850,7 @@
 fn fit(
     offers: &[Offer],
     bins: &mut Vec<Bin>,
+    from: usize,
     spec: &JobSpec,
     need: &Room,
     zones: &HashMap<String, u32>,
@@ -825,11 +871,12 @@
             0
         }
     };
-    if let Some(i) = bins
+    let there = bins
         .iter()
-        .position(|bin| bin.free.fits(need) && suits(&offers[bin.pool]))
-    {
-        return Some(i);
+        .skip(from)
+        .position(|bin| bin.free.fits(need) && suits(&offers[bin.pool]));
+    if let Some(i) = there {
+        return Some(from + i);
     }
     let (pool, offer) = offers
         .iter()
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -36,6 +36,8 @@
 const MAX_EARLY: usize = 4096;
 /// Binds are put off while more changes than this wait to be written.
 const MAX_BACKLOG: usize = 600;
+/// Estimates are often wrong by half.
+const EXPECT_MARGIN: f64 = 1.5;
 /// Leases for which a job waits without a start before it goes first among its equals.
 const AGEING_LEASES: f64 = 6.0;
 /// Passes of the scheduler in a report interval, at most.
@@ -164,19 +166,24 @@
         let since = now - (wall - spec.at).clamp(0.0, now.max(0.0) + 1e6);
         let mut job = Job::new(spec.clone(), stamp, since);
         if job.due.is_none() && !job.standing() {
-            job.due = self.objective(&spec.class).map(|within| since + within);
+            job.due = self.objective("finished", &spec.class).map(|s| since + s);
+        }
+        job.prompt_s = self.objective("wait", &spec.class);
+        if let (Some(due), None) = (job.due, job.prompt_s) {
+            job.patient_until = due - EXPECT_MARGIN * spec.expect_s;
         }
         self.jobs.insert(job);
         self.schedule_due = true;
     }
 
-    /// The time within which jobs of a class should be finished, by the tightest objective.
-    fn objective(&self, class: &str) -> Option<f64> {
+    /// The time within which jobs of a class should be finished, or their tasks started, by the
+    /// tightest objective.
+    fn objective(&self, kind: &str, class: &str) -> Option<f64> {
         self.settings
             .deployment
             .objectives
             .iter()
-            .filter(|objective| objective.kind == "finished" && objective.class == class)
+            .filter(|objective| objective.kind == kind && objective.class == class)
             .filter_map(|objective| objective.within_s)
             .min_by(f64::total_cmp)
     }
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -253,7 +253,8 @@
         }
         let mut missing = waiting - placed - barred;
         let fits = |quotas: &Quotas| quotas.fits(&spec.team, spec.cpus, spec.gpus);
-        while missing > 0 && fits(&self.quotas) && self.make_room(&placing, rng) {
+        let stops = self.now >= job.patient_until;
+        while missing > 0 && fits(&self.quotas) && self.make_room(&placing, stops, rng) {
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
             missing -= 1;
         }
@@ -405,8 +406,9 @@
             .map(|c| c.slot)
     }
 
-    /// Finds room that is about to be given up, or stops tasks of lower standing for it.
-    fn make_room(&mut self, placing: &Placing, rng: &mut impl Rng) -> bool {
+    /// Finds room that is about to be given up, or stops tasks of lower standing for it, if the job
+    /// can't wait any longer.
+    fn make_room(&mut self, placing: &Placing, stops: bool, rng: &mut impl Rng) -> bool {
         let usable: Vec<usize> = (0..self.slots.len())
             .filter(|i| self.allows(placing, &self.slots[*i]))
             .collect();
@@ -420,7 +422,7 @@
         }
         let spec = placing.spec;
         let within = self.within.contains(&spec.id);
-        if spec.rank >= self.lowest && !within {
+        if !stops || (spec.rank >= self.lowest && !within) {
             return false;
         }
         let count = usable.len().min(SAMPLE);
