Rent nothing for work that has its turn in time on the machines there are

Cause: at breach the drain target asked for all machines that the waiting tasks fill, though each machine ends several tasks before theirs are due; most were given back within a minute.

--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -135,6 +135,8 @@
 const MAX_RENTED: u32 = 8 * MAX_RENT;
 /// Longest time for which a refused pool is left alone, in boot times.
 const MAX_BLOCK: f64 = 4.0;
+/// Margin on the time until waiting work has its turn on machines that are in use.
+const TURN_MARGIN: f64 = 1.3;
 /// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
 const MAX_FITTED: u32 = 4000;
 
@@ -649,6 +651,9 @@
     /// Fits the waiting tasks onto machines that are coming, then onto machines yet to be rented.
     fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand], now: f64) {
         let mut left = MAX_FITTED;
+        // Room that running tasks will give back each second, and who is ahead for it.
+        let freed = self.freed_per_s();
+        let mut ahead = 0.0;
         for unplaced in &self.unplaced {
             let Some(job) = self.jobs.get(&unplaced.job) else {
                 continue;
@@ -663,10 +668,20 @@
                 let ready_s = offer.flavor.ready_s;
                 spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
+            // What will have its turn in time on the machines there are needs no others.
+            let served = |ahead: f64| {
+                let turn_s = TURN_MARGIN * ahead / freed.max(1e-6);
+                let late = job.due.is_none_or(|due| now + turn_s + time_s > due);
+                freed > 0.0 && !job.standing() && !late
+            };
             // Bins that have no room for one task have none for the next.
             let mut from = 0;
             for _ in 0..unplaced.count.min(left) {
                 left -= 1;
+                ahead += spec.cpus;
+                if served(ahead) {
+                    continue;
+                }
                 let Some(bin) = fit(offers, bins, from, spec, &need, &zones, patient) else {
                     break;
                 };
@@ -686,6 +701,21 @@
         }
     }
 
+    /// CPUs that the tasks of arrays give back each second by ending.
+    fn freed_per_s(&self) -> f64 {
+        let mut freed = 0.0;
+        for host in self.hosts.iter().filter(|host| host.usable()) {
+            for (task, binding) in &host.bindings {
+                if let Some(job) = self.jobs.get(&task.job)
+                    && !job.standing()
+                {
+                    freed += binding.need.cpus / job.spec.expect_s.max(self.fleet.report_s);
+                }
+            }
+        }
+        freed
+    }
+
     /// Sets one pool's target, rents what is missing, and names what may go.
     fn scale_pool(&mut self, offer: &Offer, demand: &Demand, fill: u32, now: f64) -> Vec<String> {
         let key = &offer.key;
