Replicas that must fetch their image do so on many hosts; fast fetches count as at hand

Cause: of formularios tasks that started late on Lima steady, four in five had room at once and fetched an image, since each service's replicas lay together and few hosts had each image.

--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -14,6 +14,8 @@
 const SAMPLE: usize = 64;
 /// Tasks placed in one pass.
 const MAX_BINDS: usize = 128;
+/// Machines may fetch a third slower than their type says, and the start takes its time too.
+const PULL_MARGIN: f64 = 1.5;
 /// Tasks stopped in one pass.
 const MAX_HALTS: usize = 32;
 
@@ -53,6 +55,8 @@
     /// Number of its zone.
     zone: usize,
     whole: Room,
+    /// GB of images that it fetches per second.
+    pull_gb_s: f64,
     free: Room,
     /// Room that tasks being stopped will give, minus what it is already meant for.
     leaving: Room,
@@ -76,6 +80,8 @@
 struct Candidate {
     slot: usize,
     image: bool,
+    /// It would have to fetch the image, which what must start soon can't wait for.
+    slow: bool,
     /// Ordinary, though the job may use spot machines.
     dear: bool,
 }
@@ -86,6 +92,8 @@
     need: Room,
     /// Its tasks in each zone, by the zone's number.
     zones: Vec<u32>,
+    /// Its tasks on each host, by the slot's number, as far as placed in this pass.
+    placed: HashMap<usize, u32>,
 }
 
 impl Placing<'_> {
@@ -148,20 +156,19 @@
         patience_s: f64,
         now: f64,
     ) -> Pass<'a> {
-        let sizes: HashMap<&str, Room> = flavors
-            .iter()
-            .map(|f| (f.name.as_str(), Room::of_flavor(f)))
-            .collect();
+        let kinds: HashMap<&str, &Flavor> = flavors.iter().map(|f| (f.name.as_str(), f)).collect();
         let mut zones: Vec<&str> = Vec::new();
         let slots = hosts
             .iter()
             .filter(|host| host.usable() && host.errors < MAX_ERRORS)
             .filter_map(|host| {
-                let whole = *sizes.get(host.flavor.as_str())?;
+                let flavor = kinds.get(host.flavor.as_str())?;
+                let whole = Room::of_flavor(flavor);
                 Some(Slot {
                     host,
                     zone: number_of(&mut zones, &host.zone),
                     whole,
+                    pull_gb_s: flavor.pull_gb_s,
                     free: whole.minus(&host.used()),
                     leaving: host.leaving(),
                     movable: None,
@@ -225,6 +232,7 @@
             spec,
             need: need(spec),
             zones: vec![0; self.zones.len()],
+            placed: HashMap::new(),
         };
         for (zone, count) in &job.zones {
             let number = number_of(&mut self.zones, zone);
@@ -313,6 +321,7 @@
             let chosen = &mut self.slots[slot];
             chosen.free = chosen.free.minus(&placing.need);
             placing.zones[chosen.zone] += 1;
+            *placing.placed.entry(slot).or_default() += 1;
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
             self.plan.binds.push((task, chosen.host.name.clone()));
             placed += 1;
@@ -331,6 +340,7 @@
         let spec = placing.spec;
         let need = &placing.need;
         let kind = usize::from(spec.spot);
+        let prompt_s = self.jobs.get(&spec.id).and_then(|job| job.prompt_s);
         if self.hopeless[kind].is_some_and(|known| need.fits(&known)) {
             return Vec::new();
         }
@@ -350,9 +360,13 @@
         all.into_iter()
             .map(|slot| {
                 let host = self.slots[slot].host;
+                let image = host.images.contains(&spec.image);
+                let fetch_s = PULL_MARGIN * spec.image_gb / self.slots[slot].pull_gb_s.max(1e-6);
+                let waits = prompt_s.is_some_and(|prompt_s| fetch_s < prompt_s);
                 Candidate {
                     slot,
-                    image: host.images.contains(&spec.image),
+                    image,
+                    slow: spec.rank <= Rank::Urgent && !image && !waits,
                     dear: spec.spot && !host.spot,
                 }
             })
@@ -371,7 +385,8 @@
     }
 
     /// The host that a task goes to: for jobs that may use spot machines those first; fewer
-    /// replicas in the zone; the image at hand; then the fullest.
+    /// replicas in the zone; the image at hand; then the fullest. Replicas that must fetch their
+    /// image do so each on another host, so that later ones find it on many.
     fn best_slot(
         &self,
         candidates: &[Candidate],
@@ -396,9 +411,11 @@
                         0
                     };
                     let left = slot.free.minus(&placing.need).share_of(&slot.whole);
-                    // What must start soon goes first of all where nothing has to be fetched.
-                    let fetch = spec.rank <= Rank::Urgent && !c.image;
-                    ((fetch, c.dear, replicas, !c.image), left)
+                    let mates = match placing.placed.get(&c.slot) {
+                        Some(count) if !c.image && spec.shape == Shape::Standing => *count,
+                        _ => 0,
+                    };
+                    ((c.slow, c.dear, replicas, !c.image, mates), left)
                 };
                 let (a, b) = (key(a), key(b));
                 a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
