--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -91,6 +91,9 @@
 /// Weight of the latest value in running averages.
 const LATEST: f64 = 0.1;
 
+/// A single task's run time over its estimate counts within these bounds.
+const BIAS_RANGE: (f64, f64) = (0.2, 5.0);
+
 fn average(known: Option<f64>, value: f64) -> Option<f64> {
     Some(known.map_or(value, |known| known + (value - known) * LATEST))
 }
@@ -103,6 +106,9 @@
     bids: u64,
     rentals: BTreeMap<String, Renting>,
     pools: BTreeMap<PoolKey, Pool>,
+    /// What tasks take over what their owners thought; on some days estimates are mostly too high
+    /// or too low.
+    bias: f64,
     /// Machines whose deletion was confirmed, and when.
     gone: HashMap<String, f64>,
     calls: Bucket,
@@ -149,6 +155,7 @@
             bids: 0,
             rentals: BTreeMap::new(),
             pools: BTreeMap::new(),
+            bias: 1.0,
             gone: HashMap::new(),
             calls: Bucket::new(
                 cloud.rps * CLOUD_SHARE,
@@ -213,7 +220,12 @@
         }
     }
 
-    pub(super) fn note_finish(&mut self, host: &Host, ran_s: f64, now: f64) {
+    pub(super) fn note_finish(&mut self, host: &Host, ran_s: f64, expect_s: f64, now: f64) {
+        if expect_s > 0.0 {
+            let (least, most) = BIAS_RANGE;
+            let bias = (ran_s / expect_s).clamp(least, most);
+            self.bias += (bias - self.bias) * LATEST / 10.0;
+        }
         let pool = self.pool_of(host);
         pool.finishes.add(1.0, now);
         pool.task_s = average(pool.task_s, ran_s);
@@ -653,6 +665,10 @@
         let mut left = MAX_FITTED;
         // Room that running tasks will give back each second, and who is ahead for it.
         let freed = self.freed_per_s();
+        let ready_s = offers
+            .iter()
+            .map(|offer| offer.flavor.ready_s)
+            .fold(f64::INFINITY, f64::min);
         let mut ahead = 0.0;
         for unplaced in &self.unplaced {
             let Some(job) = self.jobs.get(&unplaced.job) else {
@@ -663,16 +679,17 @@
             let mut zones = job.zones.clone();
             // Work that may use spot machines waits for them as long as it can still be on time
             // with an ordinary machine rented later.
-            let time_s = EXPECT_MARGIN * spec.expect_s;
+            let time_s = EXPECT_MARGIN * self.fleet.bias * spec.expect_s;
             let patient = |offer: &Offer| {
                 let ready_s = offer.flavor.ready_s;
                 spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
-            // What will have its turn in time on the machines there are needs no others.
+            // What will have its turn in time on the machines there are, or sooner than a new one is
+            // up, needs no others.
             let served = |ahead: f64| {
                 let turn_s = TURN_MARGIN * ahead / freed.max(1e-6);
-                let late = job.due.is_none_or(|due| now + turn_s + time_s > due);
-                freed > 0.0 && !job.standing() && !late
+                let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
+                freed > 0.0 && !job.standing() && (on_time || turn_s <= ready_s)
             };
             // Bins that have no room for one task have none for the next.
             let mut from = 0;
@@ -709,7 +726,8 @@
                 if let Some(job) = self.jobs.get(&task.job)
                     && !job.standing()
                 {
-                    freed += binding.need.cpus / job.spec.expect_s.max(self.fleet.report_s);
+                    let takes_s = self.fleet.bias * job.spec.expect_s;
+                    freed += binding.need.cpus / takes_s.max(self.fleet.report_s / 2.0);
                 }
             }
         }
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -268,7 +268,11 @@
             if cause == Cause::Done && ran {
                 let binding = host.bindings.get(task);
                 if let Some(ran_s) = binding.and_then(|b| b.running).map(|since| now - since) {
-                    self.fleet.note_finish(host, ran_s, now);
+                    let expect_s = self
+                        .jobs
+                        .get(&task.job)
+                        .map_or(0.0, |job| job.spec.expect_s);
+                    self.fleet.note_finish(host, ran_s, expect_s, now);
                 }
             }
         }
