--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -49,6 +49,14 @@
             ram: self.ram + other.ram,
         }
     }
+    /// So many times as much.
+    pub fn times(&self, factor: f64) -> Room {
+        Room {
+            cpus: self.cpus * factor,
+            gpus: self.gpus * factor,
+            ram: self.ram * factor,
+        }
+    }
     /// How many of `need` fit.
     pub fn count(&self, need: &Room) -> u32 {
         let of = |have: f64, need: f64| {
--- a/src/coordination/autoscaler.rs
+++ b/src/coordination/autoscaler.rs
@@ -24,6 +24,8 @@
     /// Machines' worth of replicas, which run until they are cancelled: for them, what Little's law
     /// calls the number in the system is simply what is there.
     pub standing: f64,
+    /// Machines beyond those with tasks that are kept for replicas to come.
+    pub spare: u32,
     /// Machines with tasks.
     pub busy: u32,
     /// Machines that the requests of the waiting tasks would fill.
@@ -87,13 +89,17 @@
 }
 
 /// Machines for the expected arrivals: their rate times the time of a task, over the tasks that a
-/// machine takes; with the headroom on top.
+/// machine takes; or what is in use and the headroom kept for replicas.
 pub fn trend(load: &Load, figures: &Figures) -> u32 {
     let tasks = load.forecast * load.task_s;
-    ceil(
-        (tasks / load.per_machine.max(1.0) + load.standing) * (1.0 + figures.headroom),
+    let expected = ceil(
+        tasks / load.per_machine.max(1.0) + load.standing,
         figures.max,
-    )
+    );
+    if load.spare == 0 {
+        return expected;
+    }
+    expected.max((load.busy + load.spare).min(figures.max))
 }
 
 /// Machines that drain the backlog before the oldest task breaches the pickup target.
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -1,21 +1,20 @@
 //! The fleet: what is rented, what is given back, and the cloud's list.
 
-use super::{EXPECT_MARGIN, Leader};
+use super::Leader;
 use crate::bookkeeping::budget::Bucket;
-use crate::bookkeeping::hosts::{Host, Room};
+use crate::bookkeeping::hosts::Host;
 use crate::bookkeeping::ledger::Change;
 use crate::bookkeeping::records::{self, RentalRecord};
-use crate::coordination::autoscaler::{self, Load, Meter};
+use crate::coordination::autoscaler::{self, Meter};
 use crate::coordination::outbox::{CloudAsk, Outbox};
-use crate::coordination::scheduler::{self, MAX_ERRORS};
-use crate::policy::PoolView;
+use crate::coordination::scheduler::MAX_ERRORS;
 use crate::protocol::cloud::{
-    CloudCall, CloudReply, Flavor, MAX_DELETE, MAX_RENT, Machine, MachineStatus, Rental,
+    CloudCall, CloudReply, MAX_DELETE, MAX_RENT, Machine, MachineStatus, Rental,
 };
-use crate::protocol::job::{JobSpec, Rank};
+use crate::protocol::job::Rank;
 use crate::protocol::state::Write;
 use crate::settings::Settings;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 /// A pool of machines: type, zone, and whether spot.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -78,14 +77,14 @@
 }
 
 #[derive(Debug, Default)]
-struct Pool {
+pub(super) struct Pool {
     blocked_until: f64,
     block_s: f64,
-    starts: Meter,
-    finishes: Meter,
-    task_s: Option<f64>,
-    share: Option<f64>,
-    decided: Option<autoscaler::Decision>,
+    pub(super) starts: Meter,
+    pub(super) finishes: Meter,
+    pub(super) task_s: Option<f64>,
+    pub(super) share: Option<f64>,
+    pub(super) decided: Option<autoscaler::Decision>,
 }
 
 /// Weight of the latest value in running averages.
@@ -105,10 +104,10 @@
     since: f64,
     bids: u64,
     rentals: BTreeMap<String, Renting>,
-    pools: BTreeMap<PoolKey, Pool>,
+    pub(super) pools: BTreeMap<PoolKey, Pool>,
     /// What tasks take over what their owners thought; on some days estimates are mostly too high
     /// or too low.
-    bias: f64,
+    pub(super) bias: f64,
     /// Machines whose deletion was confirmed, and when.
     gone: HashMap<String, f64>,
     calls: Bucket,
@@ -121,7 +120,7 @@
     delete_at: f64,
     scale_at: f64,
     list_lag_s: f64,
-    report_s: f64,
+    pub(super) report_s: f64,
 }
 
 /// Share of the cloud's limit that the leader uses; the rest is for the catalogue and for a leader
@@ -130,7 +129,7 @@
 /// Seconds' worth of the leader's share that may be used at once.
 const CLOUD_BURST_S: f64 = 1.5;
 /// Usual boot times within which most machines are up. Those that are not are no longer counted on.
-const BOOT_USUAL: f64 = 1.5;
+pub(super) const BOOT_USUAL: f64 = 1.5;
 /// Usual boot times after which a machine that is not up is given back.
 const BOOT_PATIENCE: f64 = 2.5;
 /// Report intervals without a report that are more than chance.
@@ -141,10 +140,6 @@
 const MAX_RENTED: u32 = 8 * MAX_RENT;
 /// Longest time for which a refused pool is left alone, in boot times.
 const MAX_BLOCK: f64 = 4.0;
-/// Margin on the time until waiting work has its turn on machines that are in use.
-const TURN_MARGIN: f64 = 1.3;
-/// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
-const MAX_FITTED: u32 = 4000;
 
 impl Fleet {
     pub(super) fn new(settings: &Settings, epoch: u64, now: f64) -> Fleet {
@@ -208,6 +203,21 @@
         }
     }
 
+    /// Whether a pool is known to be sold out.
+    pub(super) fn is_blocked(&self, key: &PoolKey, now: f64) -> bool {
+        let pool = self.pools.get(key);
+        pool.is_some_and(|pool| now < pool.blocked_until)
+    }
+
+    /// Machines of a pool that are being rented and are not in the table yet.
+    pub(super) fn renting(&self, key: &PoolKey) -> u32 {
+        self.rentals
+            .values()
+            .filter(|rental| rental.pool() == *key)
+            .map(Renting::expected)
+            .sum()
+    }
+
     fn pool_of(&mut self, host: &Host) -> &mut Pool {
         self.pools.entry(key_of(host)).or_default()
     }
@@ -248,40 +258,10 @@
     }
 }
 
-fn is_in(host: &Host, pool: &PoolKey) -> bool {
+pub(super) fn is_in(host: &Host, pool: &PoolKey) -> bool {
     host.spot == pool.spot && host.zone == pool.zone && host.flavor == pool.flavor
 }
 
-/// A machine that is on its way or would be rented, with the room that is left on it.
-struct Bin {
-    pool: usize,
-    free: Room,
-    used: bool,
-}
-
-struct Offer<'a> {
-    key: PoolKey,
-    flavor: &'a Flavor,
-    price: f64,
-    blocked: bool,
-}
-
-impl Offer<'_> {
-    fn unit_price(&self) -> f64 {
-        self.price / self.flavor.cpus.max(1.0)
-    }
-}
-
-#[derive(Default, Clone)]
-struct Demand {
-    /// The most urgent work.
-    rank: Option<Rank>,
-    pending: u32,
-    oldest_s: f64,
-    expect_s: f64,
-    share: f64,
-}
-
 impl Leader {
     /// Lists, scales, rents and deletes, as is due.
     pub(super) fn drive_fleet(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
@@ -342,8 +322,8 @@
             .filter(|(_, rental)| matches!(rental.stage, Stage::Ready(at) if now >= at))
             .min_by_key(|(_, rental)| rental.turn);
         let Some((bid, rental)) = ready else { return };
-        let pool = fleet.pools.get(&rental.pool());
-        if !rental.sent && pool.is_some_and(|pool| now < pool.blocked_until) {
+        let blocked = |pool: &Pool| now < pool.blocked_until;
+        if !rental.sent && fleet.pools.get(&rental.pool()).is_some_and(blocked) {
             // The pool has turned out to be sold out; the next round asks elsewhere.
             rental.stage = Stage::Settling;
             self.ledger.push(Change::Put {
@@ -585,289 +565,7 @@
         }
     }
 
-    /// One round of the autoscaler.
-    fn scale(&mut self, now: f64) {
-        let flavors = self.flavors.clone();
-        let mut offers: Vec<Offer> = flavors
-            .iter()
-            .flat_map(|flavor| {
-                flavor
-                    .zones
-                    .iter()
-                    .flat_map(move |zone| [false, true].map(|spot| (flavor, zone.clone(), spot)))
-            })
-            .filter(|(flavor, _, spot)| !spot || flavor.market_price.is_some())
-            .map(|(flavor, zone, spot)| {
-                let key = PoolKey {
-                    flavor: flavor.name.clone(),
-                    zone,
-                    spot,
-                };
-                let pool = self.fleet.pools.get(&key);
-                Offer {
-                    blocked: pool.is_some_and(|pool| now < pool.blocked_until),
-                    price: if spot {
-                        flavor.market_price.unwrap_or(flavor.hourly)
-                    } else {
-                        flavor.hourly
-                    },
-                    key,
-                    flavor,
-                }
-            })
-            .collect();
-        // The cheap ones first.
-        offers.sort_by(|a, b| a.unit_price().total_cmp(&b.unit_price()));
-        let mut bins = self.coming(&offers, now);
-        let mut demand = vec![Demand::default(); offers.len()];
-        self.fit_demand(&offers, &mut bins, &mut demand, now);
-        let mut back = BTreeSet::new();
-        for (i, offer) in offers.iter().enumerate() {
-            let fill = bins.iter().filter(|b| b.pool == i && b.used).count() as u32;
-            let surplus = self.scale_pool(offer, &demand[i], fill, now);
-            back.extend(surplus);
-        }
-        for name in back {
-            self.give_back(&name);
-        }
-    }
-
-    /// Machines that are booting, in the usual time, or being rented: empty.
-    fn coming(&self, offers: &[Offer], now: f64) -> Vec<Bin> {
-        let mut bins = Vec::new();
-        for (i, offer) in offers.iter().enumerate() {
-            let booting = self
-                .hosts
-                .iter()
-                .filter(|h| !h.returning && h.heard.is_none() && is_in(h, &offer.key))
-                .filter(|h| now - h.since <= BOOT_USUAL * offer.flavor.ready_s)
-                .count() as u32;
-            let expected: u32 = self
-                .fleet
-                .rentals
-                .values()
-                .filter(|rental| rental.pool() == offer.key)
-                .map(Renting::expected)
-                .sum();
-            for _ in 0..booting + expected {
-                bins.push(Bin {
-                    pool: i,
-                    free: Room::of_flavor(offer.flavor),
-                    used: false,
-                });
-            }
-        }
-        bins
-    }
-
-    /// Fits the waiting tasks onto machines that are coming, then onto machines yet to be rented.
-    fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand], now: f64) {
-        let mut left = MAX_FITTED;
-        // Room that running tasks will give back each second, and who is ahead for it.
-        let freed = self.freed_per_s();
-        let ready_s = offers
-            .iter()
-            .map(|offer| offer.flavor.ready_s)
-            .fold(f64::INFINITY, f64::min);
-        let mut ahead = 0.0;
-        for unplaced in &self.unplaced {
-            let Some(job) = self.jobs.get(&unplaced.job) else {
-                continue;
-            };
-            let spec = &job.spec;
-            let need = scheduler::need(spec);
-            let mut zones = job.zones.clone();
-            // Work that may use spot machines waits for them as long as it can still be on time
-            // with an ordinary machine rented later.
-            let time_s = EXPECT_MARGIN * self.fleet.bias * spec.expect_s;
-            let patient = |offer: &Offer| {
-                let ready_s = offer.flavor.ready_s;
-                spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
-            };
-            // What will have its turn in time on the machines there are, or sooner than a new one is
-            // up, needs no others.
-            let served = |ahead: f64| {
-                let turn_s = TURN_MARGIN * ahead / freed.max(1e-6);
-                let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
-                freed > 0.0 && !job.standing() && (on_time || turn_s <= ready_s)
-            };
-            // Bins that have no room for one task have none for the next.
-            let mut from = 0;
-            for _ in 0..unplaced.count.min(left) {
-                left -= 1;
-                ahead += spec.cpus;
-                if served(ahead) {
-                    continue;
-                }
-                let Some(bin) = fit(offers, bins, from, spec, &need, &zones, patient) else {
-                    break;
-                };
-                from = bin;
-                let bin = &mut bins[bin];
-                bin.free = bin.free.minus(&need);
-                bin.used = true;
-                let offer = &offers[bin.pool];
-                *zones.entry(offer.key.zone.clone()).or_default() += 1;
-                let pool = &mut demand[bin.pool];
-                pool.rank = Some(pool.rank.map_or(spec.rank, |rank| rank.min(spec.rank)));
-                pool.pending += 1;
-                pool.oldest_s = pool.oldest_s.max(unplaced.age_s);
-                pool.expect_s += spec.expect_s;
-                pool.share += need.share_of(&Room::of_flavor(offer.flavor));
-            }
-        }
-    }
-
-    /// CPUs that the tasks of arrays give back each second by ending.
-    fn freed_per_s(&self) -> f64 {
-        let mut freed = 0.0;
-        for host in self.hosts.iter().filter(|host| host.usable()) {
-            for (task, binding) in &host.bindings {
-                if let Some(job) = self.jobs.get(&task.job)
-                    && !job.standing()
-                {
-                    let takes_s = self.fleet.bias * job.spec.expect_s;
-                    freed += binding.need.cpus / takes_s.max(self.fleet.report_s / 2.0);
-                }
-            }
-        }
-        freed
-    }
-
-    /// Sets one pool's target, rents what is missing, and names what may go.
-    fn scale_pool(&mut self, offer: &Offer, demand: &Demand, fill: u32, now: f64) -> Vec<String> {
-        let key = &offer.key;
-        let whole = Room::of_flavor(offer.flavor);
-        let mut machines = 0;
-        let mut busy = 0;
-        let mut standing = Room::default();
-        let mut used = Room::default();
-        for host in self.hosts.iter() {
-            if host.returning || host.taken_at.is_some() || !is_in(host, key) {
-                continue;
-            }
-            let overdue = host.heard.is_none()
-                && !host.listed_up
-                && now - host.since > BOOT_USUAL * offer.flavor.ready_s;
-            if overdue {
-                continue;
-            }
-            machines += 1;
-            busy += u32::from(!host.bindings.is_empty());
-            used = used.plus(&host.used());
-            for (task, binding) in &host.bindings {
-                if self.jobs.get(&task.job).is_some_and(|job| job.standing()) {
-                    standing = standing.plus(&binding.need);
-                }
-            }
-        }
-        let renting: u32 = self
-            .fleet
-            .rentals
-            .values()
-            .filter(|rental| rental.pool() == *key)
-            .map(Renting::expected)
-            .sum();
-        let machines = machines + renting;
-        let figures = self.policy.figures(&PoolView {
-            spot: key.spot,
-            ready_s: offer.flavor.ready_s,
-            hourly: offer.price,
-            cpus: offer.flavor.cpus,
-            busy,
-            machines,
-            waiting: demand.pending,
-        });
-        let since = self.since;
-        let pool = self.fleet.pools.entry(key.clone()).or_default();
-        pool.starts.trim(figures.window_s, now);
-        pool.finishes.trim(figures.window_s, now);
-        let pending = f64::from(demand.pending.max(1));
-        let per_machine = match pool.share {
-            Some(share) => 1.0 / share,
-            None if demand.pending > 0 && demand.share > 0.0 => pending / demand.share,
-            None => 1.0,
-        };
-        let task_s = pool
-            .task_s
-            .unwrap_or(demand.expect_s / pending)
-            .max(self.fleet.report_s / 5.0);
-        let events = pool.starts.rate(figures.window_s, since, now)
-            + pool.finishes.rate(figures.window_s, since, now);
-        let rate = if events > 0.0 && busy > 0 {
-            events / f64::from(busy)
-        } else {
-            per_machine / task_s
-        };
-        let load = Load {
-            pending: demand.pending,
-            oldest_s: demand.oldest_s,
-            rate,
-            forecast: pool.starts.forecast(figures.window_s, since, now),
-            task_s,
-            per_machine,
-            standing: standing.share_of(&whole),
-            busy,
-            fill,
-        };
-        let decision = autoscaler::decide(&load, &figures);
-        tracing::debug!(
-            pool = %key,
-            machines,
-            renting,
-            busy,
-            used = used.share_of(&whole),
-            ?load,
-            "pool"
-        );
-        if pool.decided != Some(decision) {
-            pool.decided = Some(decision);
-            tracing::info!(
-                pool = %key,
-                little = decision.little,
-                trend = decision.trend,
-                drain = decision.drain,
-                target = decision.target,
-                reason = ?decision.reason,
-                machines,
-                busy,
-                pending = demand.pending,
-                "scaling"
-            );
-        }
-        let unfinished = self
-            .fleet
-            .rentals
-            .values()
-            .any(|rental| rental.pool() == *key && rental.expected() > 0);
-        if decision.target > machines && !offer.blocked && !unfinished {
-            self.rent(key, demand.rank, decision.target - machines);
-        }
-        let surplus = machines.saturating_sub(decision.target) as usize;
-        let mut idle: Vec<&Host> = self
-            .hosts
-            .iter()
-            .filter(|host| {
-                is_in(host, key)
-                    && !host.returning
-                    && host.heard.is_some()
-                    && host.bindings.is_empty()
-                    && now - host.idle_since > figures.cooldown_s
-            })
-            .collect();
-        idle.sort_by(|a, b| a.idle_since.total_cmp(&b.idle_since));
-        let back: Vec<String> = idle
-            .into_iter()
-            .take(surplus)
-            .map(|host| host.name.clone())
-            .collect();
-        if !back.is_empty() {
-            tracing::info!(pool = %key, count = back.len(), target = decision.target, "giving back idle machines");
-        }
-        back
-    }
-
-    fn rent(&mut self, key: &PoolKey, rank: Option<Rank>, count: u32) {
+    pub(super) fn rent(&mut self, key: &PoolKey, rank: Option<Rank>, count: u32) {
         let mut left = count.min(MAX_RENTED);
         while left > 0 {
             self.fleet.bids += 1;
@@ -892,58 +590,3 @@
         }
     }
 }
-
-/// A bin for one more task: one that is there, or a new one from the cheapest pool that is not
-/// known to be sold out.
-fn fit(
-    offers: &[Offer],
-    bins: &mut Vec<Bin>,
-    from: usize,
-    spec: &JobSpec,
-    need: &Room,
-    zones: &HashMap<String, u32>,
-    patient: impl Fn(&Offer) -> bool,
-) -> Option<usize> {
-    let suits = |offer: &Offer| {
-        let zone = &offer.key.zone;
-        let other = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
-        spec.allows(&offer.key.flavor, zone, offer.key.spot)
-            && (offer.key.spot || !patient(offer))
-            && !other
-            && zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
-    };
-    let replicas = |offer: &Offer| {
-        if spec.spread {
-            zones.get(&offer.key.zone).copied().unwrap_or(0)
-        } else {
-            0
-        }
-    };
-    let there = bins
-        .iter()
-        .skip(from)
-        .position(|bin| bin.free.fits(need) && suits(&offers[bin.pool]));
-    if let Some(i) = there {
-        return Some(from + i);
-    }
-    let (pool, offer) = offers
-        .iter()
-        .enumerate()
-        .filter(|(_, offer)| {
-            !offer.blocked && suits(offer) && Room::of_flavor(offer.flavor).fits(need)
-        })
-        .min_by(|(_, a), (_, b)| {
-            let cost = |offer: &Offer| {
-                offer.price / f64::from(Room::of_flavor(offer.flavor).count(need).max(1))
-            };
-            replicas(a)
-                .cmp(&replicas(b))
-                .then(cost(a).total_cmp(&cost(b)))
-        })?;
-    bins.push(Bin {
-        pool,
-        free: Room::of_flavor(offer.flavor),
-        used: false,
-    });
-    Some(bins.len() - 1)
-}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod load;
 mod reports;
+mod scaling;
 mod writes;
 
 use super::outbox::Outbox;
--- /dev/null
+++ b/src/coordination/leader/scaling.rs
@@ -0,0 +1,488 @@
+//! How many machines each pool should have: the demand of what waits, the room for replicas to come,
+//! and the autoscaler's decision.
+
+use super::fleet::{self, PoolKey, is_in};
+use super::{EXPECT_MARGIN, Leader};
+use crate::bookkeeping::hosts::{Host, Room};
+use crate::coordination::autoscaler::{self, Load};
+use crate::coordination::scheduler;
+use crate::policy::{Figures, PoolView};
+use crate::protocol::cloud::Flavor;
+use crate::protocol::job::{JobSpec, Rank};
+use std::collections::HashMap;
+
+/// Margin on the time until waiting work has its turn on machines that are in use.
+const TURN_MARGIN: f64 = 1.3;
+/// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
+const MAX_FITTED: u32 = 4000;
+
+/// A machine that is on its way or would be rented, with the room that is left on it.
+struct Bin {
+    pool: usize,
+    free: Room,
+    used: bool,
+}
+
+struct Offer<'a> {
+    key: PoolKey,
+    flavor: &'a Flavor,
+    price: f64,
+    blocked: bool,
+}
+
+impl Offer<'_> {
+    fn unit_price(&self) -> f64 {
+        self.price / self.flavor.cpus.max(1.0)
+    }
+}
+
+/// What a pool has, and what is wanted of it.
+#[derive(Default, Clone)]
+struct Stock {
+    /// Machines that are up, booting in the usual time, or being rented.
+    machines: u32,
+    /// Machines being rented.
+    renting: u32,
+    /// Machines with tasks.
+    busy: u32,
+    /// Machines up without tasks.
+    idle: u32,
+    /// What tasks take.
+    used: Room,
+    /// What replicas take of that.
+    standing: Room,
+    /// Machines not in use that what waits would fill.
+    fill: u32,
+    /// Machines not in use that are kept for replicas to come.
+    spare: u32,
+}
+
+#[derive(Default, Clone)]
+struct Demand {
+    /// The most urgent work.
+    rank: Option<Rank>,
+    pending: u32,
+    oldest_s: f64,
+    expect_s: f64,
+    share: f64,
+}
+
+impl Leader {
+    /// One round of the autoscaler.
+    pub(super) fn scale(&mut self, now: f64) {
+        let flavors = self.flavors.clone();
+        let offers = self.offers(&flavors, now);
+        let mut bins = self.coming(&offers, now);
+        let mut demand = vec![Demand::default(); offers.len()];
+        self.fit_demand(&offers, &mut bins, &mut demand, now);
+        let stocks: Vec<Stock> = offers.iter().map(|offer| self.stock(offer, now)).collect();
+        let figures: Vec<Figures> = (0..offers.len())
+            .map(|i| self.figures(&offers[i], &stocks[i], &demand[i]))
+            .collect();
+        let fill: Vec<u32> = (0..offers.len())
+            .map(|i| bins.iter().filter(|b| b.pool == i && b.used).count() as u32)
+            .collect();
+        let spare = self.spare(&offers, &mut bins, &stocks, &figures);
+        let mut back = Vec::new();
+        for (i, offer) in offers.iter().enumerate() {
+            let stock = Stock {
+                fill: fill[i],
+                spare: spare[i],
+                ..stocks[i].clone()
+            };
+            back.extend(self.scale_pool(offer, &demand[i], &stock, &figures[i], now));
+        }
+        for name in back {
+            self.give_back(&name);
+        }
+    }
+
+    /// All pools, the cheap ones first.
+    fn offers<'a>(&self, flavors: &'a [Flavor], now: f64) -> Vec<Offer<'a>> {
+        let mut offers: Vec<Offer> = flavors
+            .iter()
+            .flat_map(|flavor| {
+                flavor
+                    .zones
+                    .iter()
+                    .flat_map(move |zone| [false, true].map(|spot| (flavor, zone.clone(), spot)))
+            })
+            .filter(|(flavor, _, spot)| !spot || flavor.market_price.is_some())
+            .map(|(flavor, zone, spot)| {
+                let key = PoolKey {
+                    flavor: flavor.name.clone(),
+                    zone,
+                    spot,
+                };
+                Offer {
+                    blocked: self.fleet.is_blocked(&key, now),
+                    price: if spot {
+                        flavor.market_price.unwrap_or(flavor.hourly)
+                    } else {
+                        flavor.hourly
+                    },
+                    key,
+                    flavor,
+                }
+            })
+            .collect();
+        offers.sort_by(|a, b| a.unit_price().total_cmp(&b.unit_price()));
+        offers
+    }
+
+    /// What a pool has.
+    fn stock(&self, offer: &Offer, now: f64) -> Stock {
+        let mut stock = Stock::default();
+        for host in self.hosts.iter() {
+            if host.returning || host.taken_at.is_some() || !is_in(host, &offer.key) {
+                continue;
+            }
+            let overdue = host.heard.is_none()
+                && !host.listed_up
+                && now - host.since > fleet::BOOT_USUAL * offer.flavor.ready_s;
+            if overdue {
+                continue;
+            }
+            stock.machines += 1;
+            stock.busy += u32::from(!host.bindings.is_empty());
+            stock.idle += u32::from(host.bindings.is_empty() && host.usable());
+            stock.used = stock.used.plus(&host.used());
+            stock.standing = stock.standing.plus(&self.standing_on(host));
+        }
+        stock.renting = self.fleet.renting(&offer.key);
+        stock.machines += stock.renting;
+        stock
+    }
+
+    /// What replicas take of a host.
+    fn standing_on(&self, host: &Host) -> Room {
+        host.bindings
+            .iter()
+            .filter(|(task, _)| self.jobs.get(&task.job).is_some_and(|job| job.standing()))
+            .fold(Room::default(), |sum, (_, b)| sum.plus(&b.need))
+    }
+
+    fn figures(&self, offer: &Offer, stock: &Stock, demand: &Demand) -> Figures {
+        self.policy.figures(&PoolView {
+            spot: offer.key.spot,
+            ready_s: offer.flavor.ready_s,
+            hourly: offer.price,
+            cpus: offer.flavor.cpus,
+            busy: stock.busy,
+            machines: stock.machines,
+            waiting: demand.pending,
+        })
+    }
+
+    /// Machines of each pool that are kept for replicas to come: in each zone there is to be room
+    /// for a share of those there are, whatever pool still has machines. Room that arrays have
+    /// taken counts, since they make way.
+    fn spare(
+        &self,
+        offers: &[Offer],
+        bins: &mut Vec<Bin>,
+        stocks: &[Stock],
+        figures: &[Figures],
+    ) -> Vec<u32> {
+        let mut spare = vec![0; offers.len()];
+        for zone in &self.settings.deployment.zones {
+            let here: Vec<usize> = (0..offers.len())
+                .filter(|i| !offers[*i].key.spot && offers[*i].key.zone == *zone)
+                .collect();
+            let share = here
+                .iter()
+                .map(|i| figures[*i].headroom)
+                .fold(0.0, f64::max);
+            let Some((count, need)) = self.usual_replica(zone) else {
+                continue;
+            };
+            let mut missing = (share * f64::from(count)).ceil() as u32;
+            for host in self.hosts.iter() {
+                let in_use = host.usable() && !host.spot && !host.bindings.is_empty();
+                let offer = offers.iter().find(|offer| is_in(host, &offer.key));
+                if let Some(offer) = offer.filter(|_| in_use && host.zone == *zone) {
+                    let free = Room::of_flavor(offer.flavor).minus(&self.standing_on(host));
+                    missing = missing.saturating_sub(free.count(&need));
+                }
+            }
+            for i in &here {
+                let each = Room::of_flavor(offers[*i].flavor).count(&need);
+                let unused = bins.iter().filter(|b| b.pool == *i && !b.used).count() as u32;
+                let there = stocks[*i].idle + unused;
+                while missing > 0 && each > 0 && spare[*i] < there {
+                    spare[*i] += 1;
+                    missing = missing.saturating_sub(each);
+                }
+            }
+            for i in &here {
+                let each = Room::of_flavor(offers[*i].flavor).count(&need);
+                if each > 0 && !offers[*i].blocked {
+                    spare[*i] += missing.div_ceil(each);
+                    missing = 0;
+                }
+            }
+        }
+        spare
+    }
+
+    /// How many replicas a zone has, and what one takes on average.
+    fn usual_replica(&self, zone: &str) -> Option<(u32, Room)> {
+        let mut count = 0;
+        let mut sum = Room::default();
+        for job in self.jobs.iter().filter(|job| job.standing()) {
+            let here = job.zones.get(zone).copied().unwrap_or(0);
+            let need = scheduler::need(&job.spec);
+            count += here;
+            sum = sum.plus(&need.times(f64::from(here)));
+        }
+        (count > 0).then(|| (count, sum.times(1.0 / f64::from(count))))
+    }
+
+    /// Machines that are booting, in the usual time, or being rented: empty.
+    fn coming(&self, offers: &[Offer], now: f64) -> Vec<Bin> {
+        let mut bins = Vec::new();
+        for (i, offer) in offers.iter().enumerate() {
+            let booting = self
+                .hosts
+                .iter()
+                .filter(|h| !h.returning && h.heard.is_none() && is_in(h, &offer.key))
+                .filter(|h| now - h.since <= fleet::BOOT_USUAL * offer.flavor.ready_s)
+                .count() as u32;
+            let expected = self.fleet.renting(&offer.key);
+            for _ in 0..booting + expected {
+                bins.push(Bin {
+                    pool: i,
+                    free: Room::of_flavor(offer.flavor),
+                    used: false,
+                });
+            }
+        }
+        bins
+    }
+
+    /// Fits the waiting tasks onto machines that are coming, then onto machines yet to be rented.
+    fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand], now: f64) {
+        let mut left = MAX_FITTED;
+        // Room that running tasks will give back each second, and who is ahead for it.
+        let freed = self.freed_per_s();
+        let ready_s = offers
+            .iter()
+            .map(|offer| offer.flavor.ready_s)
+            .fold(f64::INFINITY, f64::min);
+        let mut ahead = 0.0;
+        for unplaced in &self.unplaced {
+            let Some(job) = self.jobs.get(&unplaced.job) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let need = scheduler::need(spec);
+            let mut zones = job.zones.clone();
+            // Work that may use spot machines waits for them as long as it can still be on time
+            // with an ordinary machine rented later.
+            let time_s = EXPECT_MARGIN * self.fleet.bias * spec.expect_s;
+            let patient = |offer: &Offer| {
+                let ready_s = offer.flavor.ready_s;
+                spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
+            };
+            // What will have its turn in time on the machines there are, or sooner than a new one is
+            // up, needs no others.
+            let served = |ahead: f64| {
+                let turn_s = TURN_MARGIN * ahead / freed.max(1e-6);
+                let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
+                freed > 0.0 && !job.standing() && (on_time || turn_s <= ready_s)
+            };
+            // Bins that have no room for one task have none for the next.
+            let mut from = 0;
+            for _ in 0..unplaced.count.min(left) {
+                left -= 1;
+                ahead += spec.cpus;
+                if served(ahead) {
+                    continue;
+                }
+                let Some(bin) = fit(offers, bins, from, spec, &need, &zones, patient) else {
+                    break;
+                };
+                from = bin;
+                let bin = &mut bins[bin];
+                bin.free = bin.free.minus(&need);
+                bin.used = true;
+                let offer = &offers[bin.pool];
+                *zones.entry(offer.key.zone.clone()).or_default() += 1;
+                let pool = &mut demand[bin.pool];
+                pool.rank = Some(pool.rank.map_or(spec.rank, |rank| rank.min(spec.rank)));
+                pool.pending += 1;
+                pool.oldest_s = pool.oldest_s.max(unplaced.age_s);
+                pool.expect_s += spec.expect_s;
+                pool.share += need.share_of(&Room::of_flavor(offer.flavor));
+            }
+        }
+    }
+
+    /// CPUs that the tasks of arrays give back each second by ending.
+    fn freed_per_s(&self) -> f64 {
+        let mut freed = 0.0;
+        for host in self.hosts.iter().filter(|host| host.usable()) {
+            for (task, binding) in &host.bindings {
+                if let Some(job) = self.jobs.get(&task.job)
+                    && !job.standing()
+                {
+                    let takes_s = self.fleet.bias * job.spec.expect_s;
+                    freed += binding.need.cpus / takes_s.max(self.fleet.report_s / 2.0);
+                }
+            }
+        }
+        freed
+    }
+
+    /// Sets one pool's target, rents what is missing, and names what may go.
+    fn scale_pool(
+        &mut self,
+        offer: &Offer,
+        demand: &Demand,
+        stock: &Stock,
+        figures: &Figures,
+        now: f64,
+    ) -> Vec<String> {
+        let key = &offer.key;
+        let whole = Room::of_flavor(offer.flavor);
+        let (machines, busy) = (stock.machines, stock.busy);
+        let since = self.since;
+        let pool = self.fleet.pools.entry(key.clone()).or_default();
+        pool.starts.trim(figures.window_s, now);
+        pool.finishes.trim(figures.window_s, now);
+        let pending = f64::from(demand.pending.max(1));
+        let per_machine = match pool.share {
+            Some(share) => 1.0 / share,
+            None if demand.pending > 0 && demand.share > 0.0 => pending / demand.share,
+            None => 1.0,
+        };
+        let task_s = pool
+            .task_s
+            .unwrap_or(demand.expect_s / pending)
+            .max(self.fleet.report_s / 5.0);
+        let events = pool.starts.rate(figures.window_s, since, now)
+            + pool.finishes.rate(figures.window_s, since, now);
+        let rate = if events > 0.0 && busy > 0 {
+            events / f64::from(busy)
+        } else {
+            per_machine / task_s
+        };
+        let load = Load {
+            pending: demand.pending,
+            oldest_s: demand.oldest_s,
+            rate,
+            forecast: pool.starts.forecast(figures.window_s, since, now),
+            task_s,
+            per_machine,
+            standing: stock.standing.share_of(&whole),
+            busy,
+            spare: stock.spare,
+            fill: stock.fill,
+        };
+        let decision = autoscaler::decide(&load, figures);
+        tracing::debug!(
+            pool = %key,
+            machines,
+            renting = stock.renting,
+            busy,
+            used = stock.used.share_of(&whole),
+            ?load,
+            "pool"
+        );
+        if pool.decided != Some(decision) {
+            pool.decided = Some(decision);
+            tracing::info!(
+                pool = %key,
+                little = decision.little,
+                trend = decision.trend,
+                drain = decision.drain,
+                target = decision.target,
+                reason = ?decision.reason,
+                machines,
+                busy,
+                pending = demand.pending,
+                "scaling"
+            );
+        }
+        if decision.target > machines && !offer.blocked && stock.renting == 0 {
+            self.rent(key, demand.rank, decision.target - machines);
+        }
+        let surplus = machines.saturating_sub(decision.target) as usize;
+        let mut idle: Vec<&Host> = self
+            .hosts
+            .iter()
+            .filter(|host| {
+                is_in(host, key)
+                    && !host.returning
+                    && host.heard.is_some()
+                    && host.bindings.is_empty()
+                    && now - host.idle_since > figures.cooldown_s
+            })
+            .collect();
+        idle.sort_by(|a, b| a.idle_since.total_cmp(&b.idle_since));
+        let back: Vec<String> = idle
+            .into_iter()
+            .take(surplus)
+            .map(|host| host.name.clone())
+            .collect();
+        if !back.is_empty() {
+            tracing::info!(pool = %key, count = back.len(), target = decision.target, "giving back idle machines");
+        }
+        back
+    }
+}
+
+/// A bin for one more task: one that is there, or a new one from the cheapest pool that is not
+/// known to be sold out.
+fn fit(
+    offers: &[Offer],
+    bins: &mut Vec<Bin>,
+    from: usize,
+    spec: &JobSpec,
+    need: &Room,
+    zones: &HashMap<String, u32>,
+    patient: impl Fn(&Offer) -> bool,
+) -> Option<usize> {
+    let suits = |offer: &Offer| {
+        let zone = &offer.key.zone;
+        let other = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
+        spec.allows(&offer.key.flavor, zone, offer.key.spot)
+            && (offer.key.spot || !patient(offer))
+            && !other
+            && zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
+    };
+    let replicas = |offer: &Offer| {
+        if spec.spread {
+            zones.get(&offer.key.zone).copied().unwrap_or(0)
+        } else {
+            0
+        }
+    };
+    let there = bins
+        .iter()
+        .skip(from)
+        .position(|bin| bin.free.fits(need) && suits(&offers[bin.pool]));
+    if let Some(i) = there {
+        return Some(from + i);
+    }
+    let (pool, offer) = offers
+        .iter()
+        .enumerate()
+        .filter(|(_, offer)| {
+            !offer.blocked && suits(offer) && Room::of_flavor(offer.flavor).fits(need)
+        })
+        .min_by(|(_, a), (_, b)| {
+            let cost = |offer: &Offer| {
+                offer.price / f64::from(Room::of_flavor(offer.flavor).count(need).max(1))
+            };
+            replicas(a)
+                .cmp(&replicas(b))
+                .then(cost(a).total_cmp(&cost(b)))
+        })?;
+    bins.push(Bin {
+        pool,
+        free: Room::of_flavor(offer.flavor),
+        used: false,
+    });
+    Some(bins.len() - 1)
+}
--- a/tests/autoscaler.rs
+++ b/tests/autoscaler.rs
@@ -23,6 +23,7 @@
         task_s: 0.0,
         per_machine: 1.0,
         standing: 0.0,
+        spare: 0,
         busy: 0,
         fill: 0,
     }
