--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -82,7 +82,7 @@
         let fill: Vec<u32> = (0..offers.len())
             .map(|i| bins.iter().filter(|b| b.pool == i && b.used).count() as u32)
             .collect();
-        let spare = self.spare(&offers, &mut bins, &stocks, &figures);
+        let spare = self.spare(&offers, &bins, &stocks, &figures);
         let mut back = Vec::new();
         for (i, offer) in offers.iter().enumerate() {
             let stock = Stock {
@@ -180,7 +180,7 @@
     fn spare(
         &self,
         offers: &[Offer],
-        bins: &mut Vec<Bin>,
+        bins: &[Bin],
         stocks: &[Stock],
         figures: &[Figures],
     ) -> Vec<u32> {
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -106,6 +106,15 @@
     }
 }
 
+/// Where other work may be stopped for a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stops {
+    Nowhere,
+    /// Only where its image is.
+    AtImage,
+    Anywhere,
+}
+
 /// One pass over the waiting tasks.
 pub struct Pass<'a> {
     jobs: &'a Jobs,
@@ -261,7 +270,11 @@
         }
         let mut missing = waiting - placed - barred;
         let fits = |quotas: &Quotas| quotas.fits(&spec.team, spec.cpus, spec.gpus);
-        let stops = self.now >= job.patient_until;
+        let stops = if self.now >= job.patient_until {
+            Stops::Anywhere
+        } else {
+            Stops::Nowhere
+        };
         while missing > 0 && fits(&self.quotas) && self.make_room(&placing, stops, rng) {
             self.quotas.take(&spec.team, spec.cpus, spec.gpus);
             missing -= 1;
@@ -288,7 +301,12 @@
         rng: &mut impl Rng,
     ) -> (u32, u32, bool) {
         let spec = placing.spec;
-        let (mut placed, mut barred) = (0, 0);
+        let (mut placed, mut barred, mut expected) = (0, 0, 0);
+        // Worth stopping others for: a start within the time that is asked for.
+        let prompt = spec.shape == Shape::Standing
+            && job
+                .prompt_s
+                .is_some_and(|s| self.now - job.waiting_since < s / 2.0);
         let mut candidates = self.candidates(placing, rng);
         if spec.one_zone && placing.zones.iter().all(|count| *count == 0) {
             self.choose_zone(&mut candidates, &placing.need);
@@ -298,7 +316,7 @@
                 break;
             }
             if !self.quotas.fits(&spec.team, spec.cpus, spec.gpus) {
-                return (placed, barred, true);
+                return (placed + expected, barred, true);
             }
             let task = TaskId {
                 job: spec.id.clone(),
@@ -310,7 +328,16 @@
                 candidates = self.candidates(placing, rng);
                 found = self.best_slot(&candidates, placing, &task);
             }
-            let Some(slot) = found else {
+            if prompt
+                && found.is_none_or(|c| candidates[c].slow)
+                && self.make_room(placing, Stops::AtImage, rng)
+            {
+                // Room at the image is free sooner than the image would be fetched elsewhere.
+                self.quotas.take(&spec.team, spec.cpus, spec.gpus);
+                expected += 1;
+                continue;
+            }
+            let Some(found) = found else {
                 let shown = |c: &Candidate| self.slots[c.slot].host.steps.contains_key(&task);
                 if candidates.iter().any(shown) {
                     barred += 1;
@@ -318,6 +345,7 @@
                 }
                 break;
             };
+            let slot = candidates[found].slot;
             let chosen = &mut self.slots[slot];
             chosen.free = chosen.free.minus(&placing.need);
             placing.zones[chosen.zone] += 1;
@@ -326,7 +354,7 @@
             self.plan.binds.push((task, chosen.host.name.clone()));
             placed += 1;
         }
-        (placed, barred, false)
+        (placed + expected, barred, false)
     }
 
     /// Whether the job's tasks may go to a host at all.
@@ -384,7 +412,7 @@
         candidates.retain(|c| Some(self.slots[c.slot].zone) == most);
     }
 
-    /// The host that a task goes to: for jobs that may use spot machines those first; fewer
+    /// The candidate that a task goes to: for jobs that may use spot machines those first; fewer
     /// replicas in the zone; the image at hand; then the fullest. Replicas that must fetch their
     /// image do so each on another host, so that later ones find it on many.
     fn best_slot(
@@ -396,13 +424,14 @@
         let spec = placing.spec;
         candidates
             .iter()
-            .filter(|c| {
+            .enumerate()
+            .filter(|(_, c)| {
                 let slot = &self.slots[c.slot];
                 slot.free.fits(&placing.need)
                     && placing.zone_allows(slot.zone)
                     && !slot.host.steps.contains_key(task)
             })
-            .min_by(|a, b| {
+            .min_by(|(_, a), (_, b)| {
                 let key = |c: &Candidate| {
                     let slot = &self.slots[c.slot];
                     let replicas = if spec.spread {
@@ -420,14 +449,19 @@
                 let (a, b) = (key(a), key(b));
                 a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
             })
-            .map(|c| c.slot)
+            .map(|(number, _)| number)
     }
 
     /// Finds room that is about to be given up, or stops tasks of lower standing for it, if the job
     /// can't wait any longer.
-    fn make_room(&mut self, placing: &Placing, stops: bool, rng: &mut impl Rng) -> bool {
+    fn make_room(&mut self, placing: &Placing, stops: Stops, rng: &mut impl Rng) -> bool {
+        let at_image = stops == Stops::AtImage;
         let usable: Vec<usize> = (0..self.slots.len())
-            .filter(|i| self.allows(placing, &self.slots[*i]))
+            .filter(|i| {
+                let slot = &self.slots[*i];
+                (!at_image || slot.host.images.contains(&placing.spec.image))
+                    && self.allows(placing, slot)
+            })
             .collect();
         let need = &placing.need;
         for i in &usable {
@@ -439,7 +473,7 @@
         }
         let spec = placing.spec;
         let within = self.within.contains(&spec.id);
-        if !stops || (spec.rank >= self.lowest && !within) {
+        if stops == Stops::Nowhere || (spec.rank >= self.lowest && !within) {
             return false;
         }
         let count = usable.len().min(SAMPLE);
