Several transactions of users on their way while the state service is slow

Cause: with answers 15 times slower a submission waited for the one before it, then for its own. Kept: nobody waits for another's round trip.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -263,7 +263,7 @@
         let t = now.steady;
         let desk_only = matches!(
             ask,
-            StoreAsk::Check | StoreAsk::Look(_) | StoreAsk::Renew | StoreAsk::Write
+            StoreAsk::Check(_) | StoreAsk::Look(_) | StoreAsk::Renew | StoreAsk::Write(_)
         );
         if !matches!(reply, StoreReply::Refused | StoreReply::Silent) {
             self.state_ok_at = Some(t);
@@ -283,9 +283,9 @@
                 let outcome = self.election.reply(&ask, &reply, sent, &mut self.out, t);
                 self.follow_outcome(outcome, t);
             }
-            StoreAsk::Check => self.desk.checked(reply, &mut self.out, t),
-            StoreAsk::Write => {
-                let opened = self.desk.written(reply, &mut self.out, t);
+            StoreAsk::Check(call) => self.desk.checked(call, reply, &mut self.out, t),
+            StoreAsk::Write(call) => {
+                let opened = self.desk.written(call, reply, &mut self.out, t);
                 if let Some(leader) = &mut self.leader {
                     for (stamp, spec) in opened {
                         leader.opened(stamp, &spec, t, now.wall);
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -61,6 +61,39 @@
     Over,
 }
 
+/// Transactions on their way, with those who wait for them.
+#[derive(Debug, Default)]
+struct Calls {
+    next: u64,
+    on_the_way: HashMap<u64, Vec<Ticket>>,
+    latest: f64,
+}
+
+/// Transactions of one kind on their way at a time.
+const MAX_CALLS: usize = 6;
+/// Share of the patience after which the next transaction no longer waits for the one before, which
+/// a slow state service takes long to answer.
+const SLOW: f64 = 1.0 / 50.0;
+
+impl Calls {
+    /// Usually one at a time, so that many go into it.
+    fn may_call(&self, patience_s: f64, now: f64) -> bool {
+        let count = self.on_the_way.len();
+        count == 0 || (count < MAX_CALLS && now - self.latest > SLOW * patience_s)
+    }
+
+    fn add(&mut self, tickets: Vec<Ticket>, now: f64) -> u64 {
+        self.next += 1;
+        self.latest = now;
+        self.on_the_way.insert(self.next, tickets);
+        self.next
+    }
+
+    fn end(&mut self, call: u64) -> Vec<Ticket> {
+        self.on_the_way.remove(&call).unwrap_or_default()
+    }
+}
+
 /// What is known of a job's key.
 #[derive(Debug, Clone)]
 enum Fate {
@@ -77,7 +110,7 @@
 /// Tickets that may wait; more are refused at once.
 const MAX_WAITING: usize = 2_000;
 /// Jobs looked up at a time.
-const MAX_LOOKS: usize = 16;
+const MAX_LOOKS: usize = 8;
 
 /// A node's desk.
 #[derive(Debug)]
@@ -93,8 +126,8 @@
     looks: HashMap<String, Look>,
     look_queue: VecDeque<String>,
     looking: usize,
-    checking: Option<Vec<Ticket>>,
-    writing: Option<Vec<Ticket>>,
+    checking: Calls,
+    writing: Calls,
     requests: Bucket,
     changes: Bucket,
     limits: StateLimits,
@@ -120,8 +153,8 @@
             looks: HashMap::new(),
             look_queue: VecDeque::new(),
             looking: 0,
-            checking: None,
-            writing: None,
+            checking: Calls::default(),
+            writing: Calls::default(),
             requests: rate(limits.rps),
             changes: rate(limits.write_rps),
             limits: limits.clone(),
@@ -306,7 +339,10 @@
     }
 
     fn drive_polls(&mut self, out: &mut Outbox, now: f64) {
-        if self.checking.is_some() || self.polls.is_empty() || !self.requests.take(1.0, now) {
+        if self.polls.is_empty()
+            || !self.checking.may_call(self.patience_s, now)
+            || !self.requests.take(1.0, now)
+        {
             return;
         }
         let most = CONDITIONS_PER_OP * self.limits.txn_ops / 2;
@@ -328,16 +364,16 @@
                 }
             }
         }
-        self.checking = Some(batch);
+        let ask = StoreAsk::Check(self.checking.add(batch, now));
         let txn = Txn {
             when,
             writes: Vec::new(),
         };
-        out.store(StoreAsk::Check, StoreCall::Txn(txn), self.patience_s, now);
+        out.store(ask, StoreCall::Txn(txn), self.patience_s, now);
     }
 
     fn drive_writes(&mut self, out: &mut Outbox, now: f64) {
-        if self.writing.is_some() || self.writes.is_empty() {
+        if self.writes.is_empty() || !self.writing.may_call(self.patience_s, now) {
             return;
         }
         let level = self.changes.level(now).min(self.limits.txn_ops as f64);
@@ -393,8 +429,8 @@
         }
         self.changes.force(txn.writes.len() as f64, now);
         self.requests.force(1.0, now);
-        self.writing = Some(batch);
-        out.store(StoreAsk::Write, StoreCall::Txn(txn), self.patience_s, now);
+        let ask = StoreAsk::Write(self.writing.add(batch, now));
+        out.store(ask, StoreCall::Txn(txn), self.patience_s, now);
     }
 
     fn note_reply(&mut self, reply: &StoreReply, now: f64) {
@@ -402,9 +438,9 @@
     }
 
     /// The answer to the comparison for polls.
-    pub fn checked(&mut self, reply: StoreReply, out: &mut Outbox, now: f64) {
+    pub fn checked(&mut self, call: u64, reply: StoreReply, out: &mut Outbox, now: f64) {
         self.note_reply(&reply, now);
-        for ticket in self.checking.take().unwrap_or_default() {
+        for ticket in self.checking.end(call) {
             match &reply {
                 StoreReply::Committed(_) => self.answer_poll(ticket, out),
                 StoreReply::Conflict(failed) => {
@@ -458,13 +494,14 @@
     /// The answer to submits and cancels. Returns the jobs that were opened.
     pub fn written(
         &mut self,
+        call: u64,
         reply: StoreReply,
         out: &mut Outbox,
         now: f64,
     ) -> Vec<(u64, Rc<JobSpec>)> {
         self.note_reply(&reply, now);
         let mut opened = Vec::new();
-        let batch = self.writing.take().unwrap_or_default();
+        let batch = self.writing.end(call);
         for ticket in batch {
             match &reply {
                 StoreReply::Committed(stamp) => match &ticket.wish {
--- a/src/coordination/outbox.rs
+++ b/src/coordination/outbox.rs
@@ -73,10 +73,10 @@
     Renew,
     /// The end of a lease.
     Drop,
-    /// The desk's comparison for polls.
-    Check,
-    /// The desk's submits and cancels.
-    Write,
+    /// The desk's comparison for polls, by its number.
+    Check(u64),
+    /// The desk's submits and cancels, by their number.
+    Write(u64),
     /// The desk's look at one job.
     Look(String),
     /// The leader's reading of all its records, for this Epoch.
--- a/src/node.rs
+++ b/src/node.rs
@@ -43,8 +43,9 @@
 const WORKER_SHARE: f64 = 0.25;
 /// Sockets for incoming peers, for each of them.
 const INCOMING_PER_PEER: usize = 3;
-/// Connections to the state service: two wait for changes, the others work.
-const STATE_CONNS: usize = 10;
+/// Connections to the state service: two wait for changes, the others work; more than the calls
+/// that are made at a time, so that a renewal never waits for one.
+const STATE_CONNS: usize = 28;
 /// Connections to the cloud.
 const CLOUD_CONNS: usize = 4;
 /// Longest answer of the state service. A watch that brings more is read anew.
--- a/tests/desk.rs
+++ b/tests/desk.rs
@@ -50,9 +50,9 @@
                     let (ask, _) = out.store_ask(tag).unwrap();
                     let reply = state_service(&call, truth);
                     match ask {
-                        StoreAsk::Check => desk.checked(reply, out, 0.1),
-                        StoreAsk::Write => {
-                            desk.written(reply, out, 0.1);
+                        StoreAsk::Check(call) => desk.checked(call, reply, out, 0.1),
+                        StoreAsk::Write(call) => {
+                            desk.written(call, reply, out, 0.1);
                         }
                         StoreAsk::Look(id) => desk.looked(&id, reply, out, 0.1),
                         _ => unreachable!(),
@@ -153,7 +153,7 @@
     desk.poll(1, ID, &mut out, 0.0);
     out.actions.clear();
     desk.note_closed(ID);
-    desk.checked(StoreReply::Committed(9), &mut out, 0.1);
+    desk.checked(1, StoreReply::Committed(9), &mut out, 0.1);
     assert_eq!(serve(&mut desk, &mut out, Truth::Done).0, 200);
 }
 
@@ -194,7 +194,7 @@
             |d, out| {
                 d.submit(1, spec(ID, 1), None, out, 0.0);
                 out.actions.clear();
-                d.written(StoreReply::Refused, out, 0.0);
+                d.written(1, StoreReply::Refused, out, 0.0);
             },
             503,
         ),
@@ -202,7 +202,7 @@
             "it has just refused another",
             |d, out| {
                 d.poll(1, "j-2", out, 0.0);
-                d.checked(StoreReply::Refused, out, 0.0);
+                d.checked(1, StoreReply::Refused, out, 0.0);
                 out.actions.clear();
                 d.submit(2, spec(ID, 1), None, out, 0.1);
             },
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -71,11 +71,11 @@
                                 changes += txn.writes.len();
                             }
                             match ask {
-                                StoreAsk::Check => {
-                                    desk.checked(StoreReply::Committed(9), &mut out, now);
+                                StoreAsk::Check(call) => {
+                                    desk.checked(call, StoreReply::Committed(9), &mut out, now);
                                 }
-                                StoreAsk::Write => {
-                                    desk.written(StoreReply::Committed(9), &mut out, now);
+                                StoreAsk::Write(call) => {
+                                    desk.written(call, StoreReply::Committed(9), &mut out, now);
                                 }
                                 StoreAsk::Look(id) => {
                                     desk.looked(&id, StoreReply::Missing, &mut out, now);
