--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -119,6 +119,7 @@
     delete_busy: bool,
     delete_at: f64,
     scale_at: f64,
+    retire_at: f64,
     list_lag_s: f64,
     pub(super) report_s: f64,
 }
@@ -164,6 +165,7 @@
             delete_busy: false,
             delete_at: 0.0,
             scale_at: 0.0,
+            retire_at: 0.0,
             list_lag_s: cloud.list_lag_s,
             report_s: settings.deployment.workers.report_s,
         }
@@ -273,9 +275,12 @@
         let fleet = &self.fleet;
         // Nothing is rented before the list is known and a round of reports has come.
         let informed = fleet.listed.is_some() && now - fleet.since > 1.5 * fleet.report_s;
-        if informed && now >= fleet.scale_at {
-            self.fleet.scale_at = now + 2.0 * self.fleet.report_s;
+        if informed && now >= fleet.retire_at {
+            self.fleet.retire_at = now + self.fleet.report_s / 4.0;
             self.retire(now);
+        }
+        if informed && now >= self.fleet.scale_at {
+            self.fleet.scale_at = now + 2.0 * self.fleet.report_s;
             self.scale(now);
         }
         self.drive_rentals(out, now);
