--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -61,6 +61,7 @@
             w.weather = Weather {
                 lost: 0.03,
                 late: 0.03,
+                copies: 0.1,
             };
             w.run(90.0);
             w.weather = Weather::default();
@@ -136,6 +137,7 @@
         world.weather = Weather {
             lost: 0.02,
             late: 0.02,
+            copies: 0.0,
         };
         let shift = (seed % 10) as f64;
         world.crash((seed % 3) as usize, 14.0 + shift, 14.3 + shift * 0.7);
