--- /dev/null
+++ b/tests/reports.rs
@@ -0,0 +1,99 @@
+//! What a report tells a leader, and what an old one does not.
+
+mod common;
+
+use cedarladder::coordination::leader::{Leader, ReportAnswer};
+use cedarladder::policy::Policy;
+use cedarladder::protocol::state::StoreReply;
+use cedarladder::protocol::worker::Report;
+use cedarladder::settings::Settings;
+use common::flavor;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::rc::Rc;
+
+const EPOCH: u64 = 10;
+
+/// A leader that has just found all its tables empty.
+fn leader() -> Leader {
+    let settings = Rc::new(Settings::parse(include_str!("world/settings.toml")).expect("settings"));
+    let policy = Rc::new(Policy::built_in(&settings));
+    let flavors = Rc::new(vec![flavor("f")]);
+    let rng = SmallRng::seed_from_u64(1);
+    let mut leader = Leader::new(EPOCH, settings, policy, flavors, 30.0, rng, 0.0);
+    for _ in 0..3 {
+        leader.loaded(StoreReply::Page(Vec::new(), false, 9), 0.0, 0.0);
+    }
+    assert!(!leader.loading());
+    leader
+}
+
+fn report(tenure: u64, tick: u64, epoch: u64) -> Report {
+    Report {
+        host: "h".into(),
+        endpoint: "10.1.0.1:9000".into(),
+        flavor: "f".into(),
+        zone: "a".into(),
+        spot: false,
+        tenure,
+        tick,
+        epoch,
+        warning_s: None,
+        steps: Vec::new(),
+    }
+}
+
+/// For how long the leader thinks that nobody hears it, at second 30.
+#[test]
+fn who_is_heard() {
+    // Each: reports with the time they come, and the silence.
+    type Case = (&'static str, Vec<(f64, Report)>, f64);
+    let cases: Vec<Case> = vec![
+        (
+            "a report with our Epoch",
+            vec![(5.0, report(1, 1, EPOCH)), (29.0, report(1, 2, EPOCH))],
+            1.0,
+        ),
+        (
+            "a copy of the latest report",
+            vec![(5.0, report(1, 2, EPOCH)), (29.0, report(1, 2, EPOCH))],
+            25.0,
+        ),
+        (
+            "a copy of an earlier report",
+            vec![(5.0, report(1, 2, EPOCH)), (29.0, report(1, 1, EPOCH))],
+            25.0,
+        ),
+        (
+            "a copy of an earlier session",
+            vec![(5.0, report(2, 1, EPOCH)), (29.0, report(1, 90, EPOCH))],
+            25.0,
+        ),
+        (
+            "a first word from before the takeover: it does not show that we are heard",
+            vec![(29.0, report(1, 90, EPOCH - 1))],
+            26.0,
+        ),
+    ];
+    for (name, reports, silence) in cases {
+        let mut leader = leader();
+        for (at, report) in reports {
+            let answer = leader.report(&report, true, at);
+            assert_eq!(answer, ReportAnswer::Orders(Vec::new()), "{name}");
+        }
+        assert_eq!(leader.silent_for(30.0), silence, "{name}");
+    }
+}
+
+/// Who has seen a higher Epoch is sent away at once, by a late copy too.
+#[test]
+fn superseded() {
+    for (name, epoch, expected) in [
+        ("an earlier Epoch", EPOCH - 1, false),
+        ("ours", EPOCH, false),
+        ("a higher one", EPOCH + 1, true),
+    ] {
+        let answer = leader().report(&report(1, 1, epoch), true, 1.0);
+        assert_eq!(answer == ReportAnswer::Superseded, expected, "{name}");
+    }
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use cedarladder::bookkeeping::hosts::{Host, Hosts};
-use cedarladder::bookkeeping::jobs::Jobs;
+use cedarladder::bookkeeping::jobs::{Job, Jobs};
 use cedarladder::bookkeeping::quotas::Quotas;
 use cedarladder::coordination::scheduler::{Pass, Plan};
 use cedarladder::protocol::job::{JobSpec, Rank, Shape};
@@ -82,6 +82,8 @@
     faulty.errors = 3;
     let mut silent = host("o-a", "a", false);
     silent.acked = false;
+    let mut unreached = host("o-a", "a", false);
+    unreached.unreached = Some(90.0);
     let cases: Vec<Case> = vec![
         (
             "spot first",
@@ -90,6 +92,13 @@
             vec![],
             0,
         ),
+        (
+            "nothing where no answer arrives",
+            Scene::new(vec![unreached], vec![spec("j-1", 1)]),
+            vec![],
+            vec![],
+            1,
+        ),
         (
             "no spot for those who may not",
             Scene::new(all(), vec![with("j-1", 1, |s| s.spot = false)]),
@@ -244,6 +253,136 @@
     }
 }
 
+/// A job that has waited for long without a start goes first among its equals, ahead of neither
+/// priority nor limit, and one with large tasks gets a machine of its own to wait for.
+#[test]
+fn ageing() {
+    let urgent = |s: &mut JobSpec| s.rank = Rank::Urgent;
+    let large = |s: &mut JobSpec| s.cpus = 8.0;
+    // Each: tasks of the machine's, jobs with the time they came, and whose tasks are bound first.
+    type Case = (&'static str, u32, Vec<(JobSpec, f64)>, Vec<&'static str>);
+    let cases: Vec<Case> = vec![
+        (
+            "long without a start: first, though its deadline is over",
+            0,
+            vec![
+                (with("j-1", 1, |s| s.due_s = Some(30.0)), 99.0),
+                (with("j-2", 1, |s| s.due_s = Some(30.0)), 10.0),
+            ],
+            vec!["j-2", "j-1"],
+        ),
+        (
+            "a while without a start: those who can be on time first",
+            0,
+            vec![
+                (with("j-1", 1, |s| s.due_s = Some(30.0)), 99.0),
+                (with("j-2", 1, |s| s.due_s = Some(30.0)), 60.0),
+            ],
+            vec!["j-1", "j-2"],
+        ),
+        (
+            "not ahead of a higher priority",
+            0,
+            vec![(with("j-1", 1, urgent), 99.0), (spec("j-2", 1), 10.0)],
+            vec!["j-1", "j-2"],
+        ),
+        (
+            "a large task keeps the machine that it waits for",
+            2,
+            vec![(spec("j-1", 2), 99.0), (with("j-2", 1, large), 10.0)],
+            vec![],
+        ),
+        (
+            "a large task that has just come does not",
+            2,
+            vec![(spec("j-1", 2), 99.0), (with("j-2", 1, large), 98.0)],
+            vec!["j-1", "j-1"],
+        ),
+    ];
+    for (name, bound, jobs, expected) in cases {
+        let mut scene = Scene::new(
+            vec![host("o-a", "a", false)],
+            vec![spec("j-9", bound.max(1))],
+        );
+        for index in 0..bound {
+            scene = scene.bind("o-a", "j-9", index, 50.0);
+        }
+        if bound == 0 {
+            scene.jobs.remove("j-9");
+        }
+        for (spec, since) in jobs {
+            scene.jobs.insert(Job::new(spec, 5, since));
+        }
+        let plan = scene.run();
+        let got: Vec<&str> = plan.binds.iter().map(|(t, _)| t.job.as_str()).collect();
+        assert_eq!(got, expected, "{name}");
+    }
+}
+
+/// Replicas that should start within a second: where their image is, or where work that makes way
+/// runs beside it; else each on another machine, so that the image is on many.
+#[test]
+fn images() {
+    let replicas = |tasks| {
+        let mut job = Job::new(
+            with("j-1", tasks, |s| {
+                s.shape = Shape::Standing;
+                s.rank = Rank::Production;
+                s.spot = false;
+                s.image_gb = 2.0;
+                s.team = "u".into();
+            }),
+            5,
+            99.9,
+        );
+        job.prompt_s = Some(1.0);
+        job
+    };
+    let with_image = |name: &str| {
+        let mut h = host(name, "a", false);
+        h.note_image("img");
+        h
+    };
+    type Case = (&'static str, Vec<Host>, bool, Vec<&'static str>, usize);
+    let cases: Vec<Case> = vec![
+        (
+            "where the image is",
+            vec![host("o-1", "a", false), with_image("o-2")],
+            false,
+            vec!["o-2", "o-2"],
+            0,
+        ),
+        (
+            "work makes way at the image",
+            vec![host("o-1", "a", false), with_image("o-2")],
+            true,
+            vec![],
+            2,
+        ),
+        (
+            "each on another machine where it must be fetched",
+            vec![host("o-1", "a", false), host("o-2", "a", false)],
+            false,
+            vec!["o-1", "o-2"],
+            0,
+        ),
+    ];
+    for (name, hosts, full, binds, halts) in cases {
+        let mut scene = Scene::new(hosts, vec![]);
+        scene.jobs.insert(replicas(2));
+        if full {
+            scene.jobs.insert(Job::new(spec("j-9", 4), 5, 0.0));
+            for index in 0..4 {
+                scene = scene.bind("o-2", "j-9", index, 95.0);
+            }
+        }
+        let plan = scene.run();
+        let got: Vec<&str> = plan.binds.iter().map(|(_, host)| host.as_str()).collect();
+        assert_eq!(got, binds, "{name}");
+        assert_eq!(plan.halts.len(), halts, "{name}");
+    }
+}
+
 /// With many machines a pass looks at a sample of them, and still places.
 #[test]
 fn samples() {
