--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -157,6 +157,8 @@
     pub steps: BTreeMap<TaskId, Vec<StepReport>>,
     /// The worker's lease cannot run beyond this plus `lease_s`.
     pub lease_from: f64,
+    /// When its worker was first heard.
+    pub first_heard: Option<f64>,
     /// When its worker was last heard.
     pub heard: Option<f64>,
     /// Since when the latest direct call has had no answer, or a lost session none yet: reports may
@@ -201,6 +203,7 @@
             acked: false,
             steps: BTreeMap::new(),
             lease_from: now,
+            first_heard: None,
             heard: None,
             unreached: None,
             taken_at: None,
--- a/src/coordination/autoscaler.rs
+++ b/src/coordination/autoscaler.rs
@@ -24,7 +24,7 @@
     /// Machines' worth of replicas, which run until they are cancelled: for them, what Little's law
     /// calls the number in the system is simply what is there.
     pub standing: f64,
-    /// Machines beyond those with tasks that are kept for replicas to come.
+    /// Machines beyond those with tasks, and those for what waits, kept for replicas to come.
     pub spare: u32,
     /// Machines with tasks.
     pub busy: u32,
@@ -39,6 +39,8 @@
     Little,
     /// The forecast.
     Trend,
+    /// Machines kept for replicas to come.
+    Headroom,
     /// The backlog.
     Drain,
     /// What the waiting tasks would fill.
@@ -89,17 +91,13 @@
 }
 
 /// Machines for the expected arrivals: their rate times the time of a task, over the tasks that a
-/// machine takes; or what is in use and the headroom kept for replicas.
+/// machine takes, and what replicas fill.
 pub fn trend(load: &Load, figures: &Figures) -> u32 {
     let tasks = load.forecast * load.task_s;
-    let expected = ceil(
+    ceil(
         tasks / load.per_machine.max(1.0) + load.standing,
         figures.max,
-    );
-    if load.spare == 0 {
-        return expected;
-    }
-    expected.max((load.busy + load.spare).min(figures.max))
+    )
 }
 
 /// Machines that drain the backlog before the oldest task breaches the pickup target.
@@ -122,7 +120,7 @@
     )
 }
 
-/// The target of a pool. What waits is served by the machines that are busy now plus at most those
+/// The target of a pool: the largest of the three, with the headroom. What waits is served by the machines that are busy now plus at most those
 /// that its requests would fill.
 pub fn decide(load: &Load, figures: &Figures) -> Decision {
     let little = little(load, figures);
@@ -141,6 +139,9 @@
     if load.busy > target {
         (target, reason) = (load.busy, Reason::Busy);
     }
+    if load.spare > 0 {
+        (target, reason) = (target.saturating_add(load.spare), Reason::Headroom);
+    }
     if trend > target {
         (target, reason) = (trend, Reason::Trend);
     }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -255,18 +255,22 @@
         self.loading.is_some()
     }
 
-    /// For how long no worker has been heard, although some should be up.
+    /// For how long no worker has shown that it hears us, although some should.
     pub fn silent_for(&self, now: f64) -> f64 {
-        let up = self
+        // Since when there is somebody to be heard: a machine whose first word has just come has not
+        // had our answer yet.
+        let there = self
             .hosts
             .iter()
-            .any(|host| !host.returning && (host.heard.is_some() || !host.bindings.is_empty()));
-        if self.loading() || !up {
+            .filter(|host| !host.returning && (host.heard.is_some() || !host.bindings.is_empty()))
+            .map(|host| host.first_heard.unwrap_or(self.since))
+            .min_by(f64::total_cmp);
+        let Some(there) = there.filter(|_| !self.loading()) else {
             return 0.0;
-        }
+        };
         // After a takeover, workers need a moment to find the new leader.
         let from = self.since + 2.0 * self.settings.deployment.workers.report_s;
-        now - self.last_report.unwrap_or(from).max(from)
+        now - self.last_report.unwrap_or(from).max(from).max(there)
     }
 
     /// When a session whose worker is silent has certainly ended: its lease has run out since the
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -111,6 +111,7 @@
         }
         host.tenure = report.tenure;
         host.tick = report.tick;
+        host.first_heard.get_or_insert(now);
         host.heard = Some(now);
         if report.epoch == self.epoch {
             // Only who has our Epoch shows that we are heard, too.
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -196,7 +196,7 @@
             let Some((count, need)) = self.usual_replica(zone) else {
                 continue;
             };
-            let mut missing = (share * f64::from(count)).ceil() as u32;
+            let mut missing = (share * count).ceil() as u32;
             for host in self.hosts.iter() {
                 let in_use = host.usable() && !host.spot && !host.bindings.is_empty();
                 let offer = offers.iter().find(|offer| is_in(host, &offer.key));
@@ -225,17 +225,18 @@
         spare
     }
 
-    /// How many replicas a zone has, and what one takes on average.
-    fn usual_replica(&self, zone: &str) -> Option<(u32, Room)> {
-        let mut count = 0;
+    /// How many replicas a zone has or will have, and what one takes on average.
+    fn usual_replica(&self, zone: &str) -> Option<(f64, Room)> {
+        let zones = self.settings.deployment.zones.len() as f64;
+        let mut count = 0.0;
         let mut sum = Room::default();
         for job in self.jobs.iter().filter(|job| job.standing()) {
-            let here = job.zones.get(zone).copied().unwrap_or(0);
-            let need = scheduler::need(&job.spec);
+            let here = f64::from(job.zones.get(zone).copied().unwrap_or(0));
+            let here = here + f64::from(job.waiting()) / zones;
             count += here;
-            sum = sum.plus(&need.times(f64::from(here)));
+            sum = sum.plus(&scheduler::need(&job.spec).times(here));
         }
-        (count > 0).then(|| (count, sum.times(1.0 / f64::from(count))))
+        (count > 0.0).then(|| (count, sum.times(1.0 / count)))
     }
 
     /// Machines that are booting, in the usual time, or being rented: empty.
