--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -13,6 +13,7 @@
 use super::hosts::Hosts;
 use super::jobs::Jobs;
 use super::records::{self, Ending, OverRecord};
+use super::ring::{Item, Ring, Slot};
 use super::segment::{Builder, CHUNK, Segment, encode_chunk};
 use crate::protocol::state::{CONDITIONS_PER_OP, Condition, TXN_BYTES, Txn, Write};
 use crate::protocol::worker::TaskId;
@@ -63,66 +64,6 @@
     },
 }
 
-/// Something that the log must keep until it is over.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Item {
-    /// What a host is, and whether it returns.
-    Kind(String),
-    /// A binding.
-    Bound(String, TaskId),
-    /// Completed tasks of a chunk of a job.
-    Done(String, u32),
-}
-
-/// A slot of the ring with the segment that it holds.
-#[derive(Debug)]
-struct Slot {
-    number: u32,
-    stamp: u64,
-    items: BTreeSet<Item>,
-}
-
-/// The log's slots in the order of their segments.
-#[derive(Debug, Default)]
-struct Ring {
-    slots: BTreeMap<u64, Slot>,
-    place: BTreeMap<Item, u64>,
-    next_seq: u64,
-}
-
-impl Ring {
-    /// An item now stands in this segment and in no other.
-    fn put(&mut self, item: Item, seq: u64) {
-        self.drop(&item);
-        if let Some(slot) = self.slots.get_mut(&seq) {
-            slot.items.insert(item.clone());
-            self.place.insert(item, seq);
-        }
-    }
-
-    /// An item is over.
-    fn drop(&mut self, item: &Item) {
-        if let Some(seq) = self.place.remove(item)
-            && let Some(slot) = self.slots.get_mut(&seq)
-        {
-            slot.items.remove(item);
-        }
-    }
-
-    fn drop_all(&mut self, from: Item, belongs: impl Fn(&Item) -> bool) {
-        let over: Vec<Item> = self
-            .place
-            .range(from..)
-            .map(|(item, _)| item)
-            .take_while(|item| belongs(item))
-            .cloned()
-            .collect();
-        for item in over {
-            self.drop(&item);
-        }
-    }
-}
-
 /// A transaction that waits for its answer.
 #[derive(Debug)]
 struct InFlight {
@@ -159,12 +100,6 @@
 
 /// Share of the byte limits that a segment or a transaction fills at most.
 const FILL: f64 = 0.9;
-/// Slots that the ring has at least.
-const MIN_SLOTS: usize = 8;
-/// The ring has at least this many times the slots that what counts would fill.
-const SPARE: usize = 3;
-/// Bytes of an item in a segment, about; only the ring's size goes by it.
-const ITEM_BYTES: usize = 64;
 
 struct Draft {
     builder: Builder,
@@ -205,62 +140,12 @@
 
     /// Takes over a segment that an earlier leader wrote; they come in the log's order.
     pub fn inherit(&mut self, key: &str, stamp: u64, segment: &Segment) {
-        let Some(number) = key
-            .strip_prefix(records::LOG)
-            .and_then(|slot| slot.parse().ok())
-        else {
-            return;
-        };
-        let seq = segment.seq;
-        self.ring.next_seq = self.ring.next_seq.max(seq + 1);
-        let items = BTreeSet::new();
-        let slot = Slot {
-            number,
-            stamp,
-            items,
-        };
-        self.ring.slots.insert(seq, slot);
-        let host = |number: u32| segment.host(number).unwrap_or_default().to_owned();
-        let task = |number: u32, index: u32| TaskId {
-            job: segment.job(number).map_or(String::new(), |j| j.0.clone()),
-            index,
-        };
-        for kind in &segment.kinds {
-            self.ring.put(Item::Kind(host(kind.0)), seq);
-        }
-        for bind in &segment.binds {
-            self.ring
-                .put(Item::Bound(host(bind.0), task(bind.1, bind.2)), seq);
-        }
-        for end in &segment.ends {
-            self.ring
-                .drop(&Item::Bound(host(end.0), task(end.1, end.2)));
-        }
-        for gone in &segment.gone {
-            self.host_gone(&host(*gone));
-        }
-        for (job, chunk, _) in &segment.done {
-            let job = task(*job, 0).job;
-            self.ring.put(Item::Done(job, *chunk), seq);
-        }
-    }
-
-    fn host_gone(&mut self, host: &str) {
-        self.ring.drop(&Item::Kind(host.to_owned()));
-        let first = TaskId {
-            job: String::new(),
-            index: 0,
-        };
-        let from = Item::Bound(host.to_owned(), first);
-        self.ring
-            .drop_all(from, |item| matches!(item, Item::Bound(h, _) if h == host));
+        self.ring.inherit(key, stamp, segment);
     }
 
     /// A job is over: its completed tasks need not be kept.
     pub fn job_over(&mut self, job: &str) {
-        let from = Item::Done(job.to_owned(), 0);
-        self.ring
-            .drop_all(from, |item| matches!(item, Item::Done(j, _) if j == job));
+        self.ring.job_over(job);
     }
 
     /// Adds a change.
@@ -378,12 +263,11 @@
         hosts: &Hosts,
         jobs: &Jobs,
     ) -> (Option<u64>, u32, u64) {
-        let slots = self.ring.slots.len();
-        let wanted = SPARE * (self.ring.place.len() * ITEM_BYTES).div_ceil(self.limits.value_bytes);
         let oldest = self.ring.slots.iter().next();
-        let Some((seq, oldest)) = oldest.filter(|_| slots >= wanted.max(MIN_SLOTS)) else {
+        let large_enough = self.ring.is_large_enough(self.limits.value_bytes);
+        let Some((seq, oldest)) = oldest.filter(|_| large_enough) else {
             // Slots are numbered without gaps and never removed.
-            return (None, slots as u32, 0);
+            return (None, self.ring.slots.len() as u32, 0);
         };
         for item in &oldest.items {
             carry(draft, item, hosts, jobs);
@@ -454,8 +338,8 @@
                 Change::Unbind { host, task, .. } => {
                     self.ring.drop(&Item::Bound(host.clone(), task.clone()));
                 }
-                Change::Forget { host } => self.host_gone(host),
-                Change::End { job } => self.job_over(job),
+                Change::Forget { host } => self.ring.host_gone(host),
+                Change::End { job } => self.ring.job_over(job),
                 _ => {}
             }
         }
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -7,4 +7,5 @@
 pub mod ledger;
 pub mod quotas;
 pub mod records;
+pub mod ring;
 pub mod segment;
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -1,5 +1,7 @@
 //! Which waiting task goes where, and what must make room for it. Pure arithmetic on the tables.
 
+mod making_room;
+
 use crate::bookkeeping::hosts::{Host, Hosts, Room};
 use crate::bookkeeping::jobs::{Job, Jobs};
 use crate::bookkeeping::quotas::Quotas;
@@ -452,136 +454,6 @@
             .map(|(number, _)| number)
     }
 
-    /// Finds room that is about to be given up, or stops tasks of lower standing for it, if the job
-    /// can't wait any longer.
-    fn make_room(&mut self, placing: &Placing, stops: Stops, rng: &mut impl Rng) -> bool {
-        let at_image = stops == Stops::AtImage;
-        let usable: Vec<usize> = (0..self.slots.len())
-            .filter(|i| {
-                let slot = &self.slots[*i];
-                (!at_image || slot.host.images.contains(&placing.spec.image))
-                    && self.allows(placing, slot)
-            })
-            .collect();
-        let need = &placing.need;
-        for i in &usable {
-            let slot = &mut self.slots[*i];
-            if slot.leaving != Room::default() && slot.free.plus(&slot.leaving).fits(need) {
-                slot.leaving = slot.leaving.minus(need);
-                return true;
-            }
-        }
-        let spec = placing.spec;
-        let within = self.within.contains(&spec.id);
-        if stops == Stops::Nowhere || (spec.rank >= self.lowest && !within) {
-            return false;
-        }
-        let count = usable.len().min(SAMPLE);
-        let sampled: Vec<usize> = sample(rng, usable.len(), count)
-            .iter()
-            .map(|i| usable[i])
-            .collect();
-        let mut best: Option<(bool, f64, usize, usize)> = None;
-        for i in sampled {
-            self.list_movable(i);
-            let Some((count, lost)) = self.victims(i, placing, within) else {
-                continue;
-            };
-            let fetch = !self.slots[i].host.images.contains(&spec.image);
-            let better = best.is_none_or(|(f, l, ..)| (fetch, lost) < (f, l));
-            if better {
-                best = Some((fetch, lost, i, count));
-            }
-        }
-        let Some((_, _, i, count)) = best else {
-            return false;
-        };
-        if self.plan.halts.len() + count > MAX_HALTS {
-            return false;
-        }
-        self.stop(i, placing, within, count);
-        true
-    }
-
-    fn list_movable(&mut self, i: usize) {
-        if self.slots[i].movable.is_some() {
-            return;
-        }
-        let host = self.slots[i].host;
-        let mut movable: Vec<Movable> = host
-            .bindings
-            .iter()
-            .filter(|(_, b)| b.halt.is_none() && !b.ending)
-            .filter_map(|(task, b)| {
-                let job = self.jobs.get(&task.job)?;
-                let ran_s = b.running.map_or(0.0, |since| self.now - since);
-                Some(Movable {
-                    task,
-                    rank: job.spec.rank,
-                    standing: job.standing(),
-                    team: &b.team,
-                    need: b.need,
-                    lost: ran_s * b.need.cpus.max(0.1),
-                    stopped: false,
-                })
-            })
-            .collect();
-        movable.sort_by(|a, b| a.lost.total_cmp(&b.lost));
-        self.slots[i].movable = Some(movable);
-    }
-
-    /// Whether a task may be stopped for this job: it ranks lower, or its team has borrowed what
-    /// this job's team is guaranteed.
-    fn may_stop(&self, victim: &Movable, placing: &Placing, within: bool) -> bool {
-        let need = &victim.need;
-        let borrowed = || {
-            within
-                && !victim.standing
-                && victim.team != placing.spec.team
-                && self
-                    .quotas
-                    .beyond_without(victim.team, need.cpus, need.gpus)
-        };
-        !victim.stopped && (victim.rank > placing.spec.rank || borrowed())
-    }
-
-    /// How many of a host's tasks would have to stop, the least work lost first, and the work lost.
-    fn victims(&self, i: usize, placing: &Placing, within: bool) -> Option<(usize, f64)> {
-        let slot = &self.slots[i];
-        let mut room = slot.free.plus(&slot.leaving);
-        let mut lost = 0.0;
-        let mut count = 0;
-        for victim in slot.movable.iter().flatten() {
-            if room.fits(&placing.need) {
-                break;
-            }
-            if self.may_stop(victim, placing, within) {
-                room = room.plus(&victim.need);
-                lost += victim.lost;
-                count += 1;
-            }
-        }
-        (count > 0 && room.fits(&placing.need)).then_some((count, lost))
-    }
-
-    fn stop(&mut self, i: usize, placing: &Placing, within: bool, count: usize) {
-        let mut movable = self.slots[i].movable.take().unwrap_or_default();
-        let mut left = count;
-        for victim in &mut movable {
-            if left > 0 && self.may_stop(victim, placing, within) {
-                left -= 1;
-                victim.stopped = true;
-                let slot = &mut self.slots[i];
-                slot.leaving = slot.leaving.plus(&victim.need);
-                let halt = (slot.host.name.clone(), victim.task.clone());
-                self.plan.halts.push(halt);
-            }
-        }
-        let slot = &mut self.slots[i];
-        slot.leaving = slot.leaving.minus(&placing.need);
-        slot.movable = Some(movable);
-    }
-
     /// Keeps the freest host for a job that has waited for long, so that small tasks of others don't
     /// fill every gap before a large one fits.
     fn reserve(&mut self, placing: &Placing) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -319,6 +319,18 @@
     pub reports: u32,
 }
 
+/// Jobs of all kinds; some are cancelled.
+pub fn jobs(world: &mut World) {
+    world.user(1, 0.5, (3, 4.0, false, true), None);
+    world.user(2, 1.0, (6, 6.0, false, false), None);
+    world.user(3, 1.5, (2, 0.0, true, false), None);
+    world.user(4, 2.0, (1, 0.0, true, false), Some(40.0));
+    world.user(5, 3.0, (30, 8.0, false, true), Some(30.0));
+    world.user(6, 20.0, (10, 5.0, false, true), None);
+    world.user(7, 45.0, (4, 5.0, false, false), None);
+    world.user(8, 60.0, (3, 0.0, true, false), None);
+}
+
 impl World {
     /// Three controllers and a dozen machines at most.
     pub fn new(seed: u64) -> World {
