--- a/src/coordination/leader/writes.rs
+++ b/src/coordination/leader/writes.rs
@@ -166,8 +166,9 @@
                 ..
             } => self.drop_binding(host, task, *attempt, now),
             Change::End { job } => {
+                tracing::debug!(job, "done");
+                // The watch may have told of it first.
                 if let Some(known) = self.jobs.remove(job) {
-                    tracing::debug!(job, "done");
                     let record = OverRecord {
                         ending: Ending::Done,
                         done: known.done.len(),
