--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -12,7 +12,9 @@
 use std::collections::HashMap;
 
 /// Margin on the time until waiting work has its turn on machines that are in use.
-const TURN_MARGIN: f64 = 1.3;
+const TURN_MARGIN: f64 = 1.2;
+/// How much less sure that time is for a single running task.
+const TURN_DOUBT: f64 = 4.0;
 /// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
 const MAX_FITTED: u32 = 4000;
 
@@ -265,7 +267,9 @@
     fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand], now: f64) {
         let mut left = MAX_FITTED;
         // Room that running tasks will give back each second, and who is ahead for it.
-        let freed = self.freed_per_s();
+        let (freed, running) = self.freed_per_s();
+        // The fewer tasks run, the less sure it is when they end.
+        let margin = TURN_MARGIN * (1.0 + TURN_DOUBT / f64::from(running.max(1)).sqrt());
         let ready_s = offers
             .iter()
             .map(|offer| offer.flavor.ready_s)
@@ -288,7 +292,7 @@
             // What will have its turn in time on the machines there are, or sooner than a new one is
             // up, needs no others.
             let served = |ahead: f64| {
-                let turn_s = TURN_MARGIN * ahead / freed.max(1e-6);
+                let turn_s = margin * ahead / freed.max(1e-6);
                 let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
                 freed > 0.0 && !job.standing() && (on_time || turn_s <= ready_s)
             };
@@ -319,9 +323,9 @@
         }
     }
 
-    /// CPUs that the tasks of arrays give back each second by ending.
-    fn freed_per_s(&self) -> f64 {
-        let mut freed = 0.0;
+    /// CPUs that the tasks of arrays give back each second by ending, and how many tasks these are.
+    fn freed_per_s(&self) -> (f64, u32) {
+        let (mut freed, mut running) = (0.0, 0);
         for host in self.hosts.iter().filter(|host| host.usable()) {
             for (task, binding) in &host.bindings {
                 if let Some(job) = self.jobs.get(&task.job)
@@ -329,10 +333,11 @@
                 {
                     let takes_s = self.fleet.bias * job.spec.expect_s;
                     freed += binding.need.cpus / takes_s.max(self.fleet.report_s / 2.0);
+                    running += 1;
                 }
             }
         }
-        freed
+        (freed, running)
     }
 
     /// Sets one pool's target, rents what is missing, and names what may go.
