--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -211,7 +211,7 @@
                 let each = Room::of_flavor(offers[*i].flavor).count(&need);
                 let unused = bins.iter().filter(|b| b.pool == *i && !b.used).count() as u32;
                 let there = stocks[*i].idle + unused;
-                while missing > 0 && each > 0 && spare[*i] < there {
+                while 2 * missing >= each && each > 0 && missing > 0 && spare[*i] < there {
                     spare[*i] += 1;
                     missing = missing.saturating_sub(each);
                 }
@@ -219,7 +219,8 @@
             for i in &here {
                 let each = Room::of_flavor(offers[*i].flavor).count(&need);
                 if each > 0 && !offers[*i].blocked {
-                    spare[*i] += missing.div_ceil(each);
+                    // Less than half of a machine's worth is none.
+                    spare[*i] += (missing + each / 2) / each;
                     missing = 0;
                 }
             }
