--- a/tests/autoscaler.rs
+++ b/tests/autoscaler.rs
@@ -100,6 +100,23 @@
             3,
             Reason::Trend,
         ),
+        (
+            "headroom comes on top of what is busy and what the waiting fill",
+            Load {
+                pending: 8,
+                oldest_s: 100.0,
+                rate: 1.0,
+                busy: 4,
+                fill: 2,
+                spare: 3,
+                standing: 4.0,
+                ..load()
+            },
+            figures(),
+            (1, 4, 50),
+            9,
+            Reason::Headroom,
+        ),
         (
             "busy machines stay",
             Load { busy: 4, ..load() },
