--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -211,16 +211,16 @@
                 let each = Room::of_flavor(offers[*i].flavor).count(&need);
                 let unused = bins.iter().filter(|b| b.pool == *i && !b.used).count() as u32;
                 let there = stocks[*i].idle + unused;
-                while 2 * missing >= each && each > 0 && missing > 0 && spare[*i] < there {
+                while each > 0 && missing >= each && spare[*i] < there {
                     spare[*i] += 1;
-                    missing = missing.saturating_sub(each);
+                    missing -= each;
                 }
             }
             for i in &here {
                 let each = Room::of_flavor(offers[*i].flavor).count(&need);
                 if each > 0 && !offers[*i].blocked {
-                    // Less than half of a machine's worth is none.
-                    spare[*i] += (missing + each / 2) / each;
+                    // Less than a machine's worth is none: in a small zone it would be dear.
+                    spare[*i] += missing / each;
                     missing = 0;
                 }
             }
