Silence judged by zone and sooner; the whole demand is rented for; sockets by purpose

A dead machine was waited for 13 s. Also: sockets set aside by purpose, connections found by destination, direct calls bounded with a part for those that may not be answered, leases of silent workers counted from when all nodes knew the new Epoch.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -388,8 +388,12 @@
         }
         let outcome = self.election.notice(beat.epoch);
         self.follow_outcome(outcome, now.steady);
-        if self.leader.is_none() {
-            self.desk.note_counts(&beat.counts);
+        match &mut self.leader {
+            Some(leader) if beat.epoch >= leader.epoch() => {
+                leader.informed(&beat.label, now.steady);
+            }
+            Some(_) => {}
+            None => self.desk.note_counts(&beat.counts),
         }
         let label = beat.label.clone();
         let at = now.steady;
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -14,7 +14,7 @@
 use crate::protocol::job::Rank;
 use crate::protocol::state::Write;
 use crate::settings::Settings;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A pool of machines: type, zone, and whether spot.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -120,6 +120,8 @@
     delete_at: f64,
     scale_at: f64,
     retire_at: f64,
+    /// Zones that are taken to be cut off, and when that was last so.
+    cut_zones: BTreeMap<String, f64>,
     list_lag_s: f64,
     pub(super) report_s: f64,
 }
@@ -134,7 +136,21 @@
 /// Usual boot times after which a machine that is not up is given back.
 const BOOT_PATIENCE: f64 = 2.5;
 /// Report intervals without a report that are more than chance.
-const MISSED_REPORTS: f64 = 2.0;
+pub(super) const MISSED_REPORTS: f64 = 1.5;
+/// Machines that may fall silent together by chance.
+const FEW: usize = 6;
+/// Part of a report interval in which that part of a zone's machines should be heard.
+const LATELY: f64 = 0.5;
+/// Share of those that should be heard, below which it is hardly any.
+const HARDLY: f64 = 0.25;
+/// Looks for machines to be given back in a report interval.
+const LOOKS_PER_REPORT: f64 = 8.0;
+/// Rounds of the autoscaler in the time of the quickest boot.
+const ROUNDS_PER_BOOT: f64 = 5.0;
+/// Boots that take longer don't slow the rounds down.
+const MAX_READY_S: f64 = 60.0;
+/// Report intervals that workers take to come again: a report without answer, and another node.
+const BACK_REPORTS: f64 = 2.5;
 /// Report intervals without any report, from whatever worker, that are more than chance.
 const QUIET_REPORTS: f64 = 1.25;
 /// Machines asked for at a time in one pool; what is there of them shows soon enough.
@@ -166,6 +182,7 @@
             delete_at: 0.0,
             scale_at: 0.0,
             retire_at: 0.0,
+            cut_zones: BTreeMap::new(),
             list_lag_s: cloud.list_lag_s,
             report_s: settings.deployment.workers.report_s,
         }
@@ -211,6 +228,31 @@
         pool.is_some_and(|pool| now < pool.blocked_until)
     }
 
+    /// Whether a zone is cut off, or has just come back.
+    pub(super) fn was_cut(&self, zone: &str) -> bool {
+        self.cut_zones.contains_key(zone)
+    }
+
+    /// Whether a zone is cut off now, as far as the last look told.
+    pub(super) fn is_cut(&self, zone: &str, now: f64) -> bool {
+        let cut = self.cut_zones.get(zone);
+        cut.is_some_and(|at| now - at < self.report_s / LOOKS_PER_REPORT * 2.0)
+    }
+
+    /// Whether any rental is not settled.
+    pub(super) fn is_renting(&self) -> bool {
+        !self.rentals.is_empty()
+    }
+
+    /// How many machines of a pool are worth asking for: a single call's after it could not give all
+    /// that was asked for.
+    pub(super) fn worth_asking(&self, key: &PoolKey) -> u32 {
+        match self.pools.get(key) {
+            Some(pool) if pool.block_s > 0.0 => MAX_RENT,
+            _ => u32::MAX,
+        }
+    }
+
     /// Machines of a pool that are being rented and are not in the table yet.
     pub(super) fn renting(&self, key: &PoolKey) -> u32 {
         self.rentals
@@ -273,14 +315,18 @@
         self.drive_list(out, now);
         self.drive_deletes(out, now);
         let fleet = &self.fleet;
-        // Nothing is rented before the list is known and a round of reports has come.
-        let informed = fleet.listed.is_some() && now - fleet.since > 1.5 * fleet.report_s;
+        // Nothing is rented before the list is known and a round of reports has come, unless no
+        // machine was ever asked for.
+        let informed =
+            fleet.listed.is_some() && (self.first || now - fleet.since > 1.5 * fleet.report_s);
         if informed && now >= fleet.retire_at {
-            self.fleet.retire_at = now + self.fleet.report_s / 4.0;
+            self.fleet.retire_at = now + self.fleet.report_s / LOOKS_PER_REPORT;
             self.retire(now);
         }
         if informed && now >= self.fleet.scale_at {
-            self.fleet.scale_at = now + 2.0 * self.fleet.report_s;
+            let ready_s = self.flavors.iter().map(|flavor| flavor.ready_s);
+            let quickest_s = ready_s.fold(f64::INFINITY, f64::min).min(MAX_READY_S);
+            self.fleet.scale_at = now + quickest_s / ROUNDS_PER_BOOT;
             self.scale(now);
         }
         self.drive_rentals(out, now);
@@ -381,7 +427,7 @@
         if self.fleet.is_gone(&machine.name) {
             return;
         }
-        let lease_from = self.since + self.hold_over_s;
+        let lease_from = self.others_until;
         let host = self.hosts.entry(&machine.name, || {
             let mut host = Host::new(
                 &machine.name,
@@ -506,15 +552,71 @@
         }
     }
 
+    /// Since when a machine that should report has not; `None`: it may still be booting.
+    fn quiet_since(&self, host: &Host) -> Option<f64> {
+        // Who has tasks and was never heard had them under an earlier leader.
+        let inherited = (!host.bindings.is_empty()).then_some(self.since);
+        Some(host.heard.or(inherited)?.max(self.awake_since))
+    }
+
+    /// Whether a machine has missed its latest reports and leaves direct calls unanswered, or has
+    /// been quiet for so long that this is not needed.
+    fn silent(&self, host: &Host, now: f64) -> bool {
+        let workers = &self.settings.deployment.workers;
+        self.quiet_since(host).is_some_and(|since| {
+            let quiet_s = now - since;
+            let asked = host.unreached.is_some_and(|at| at >= since);
+            let long_s = match host.heard {
+                Some(_) => workers.lease_s / 2.0,
+                None => workers.lease_s,
+            };
+            quiet_s > long_s || (asked && quiet_s > MISSED_REPORTS * workers.report_s)
+        })
+    }
+
+    /// Zones of which most machines are quiet at once, or hardly any was heard lately: these are cut
+    /// off, not so many dead machines. What runs there may go on, and comes back with the zone; a
+    /// deletion would only add a boot.
+    fn cut_zones(&self, now: f64) -> BTreeSet<String> {
+        let report_s = self.settings.deployment.workers.report_s;
+        let mut zones: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
+        for host in self.hosts.iter().filter(|host| !host.returning) {
+            if let Some(since) = self.quiet_since(host) {
+                let [there, missed, lately] = zones.entry(&host.zone).or_default();
+                *there += 1;
+                *missed += usize::from(now - since > MISSED_REPORTS * report_s);
+                *lately += usize::from(now - since < LATELY * report_s);
+            }
+        }
+        zones
+            .into_iter()
+            .filter(|(_, [there, missed, lately])| {
+                let hardly = (*lately as f64) < HARDLY * LATELY * *there as f64;
+                *there >= FEW && (2 * missed > *there || hardly)
+            })
+            .map(|(zone, _)| zone.to_owned())
+            .collect()
+    }
+
+    fn note_cut_zones(&mut self, now: f64) {
+        for zone in self.cut_zones(now) {
+            if self.fleet.cut_zones.insert(zone.clone(), now).is_none() {
+                tracing::info!(zone, "zone cut off");
+            }
+        }
+        let over_s = BACK_REPORTS * self.fleet.report_s;
+        self.fleet.cut_zones.retain(|zone, at| {
+            let cut = now - *at < over_s;
+            if !cut {
+                tracing::info!(zone, "zone is back");
+            }
+            cut
+        });
+    }
+
     /// Gives back machines that are of no use: silent, faulty, taken, or never up.
     fn retire(&mut self, now: f64) {
         let lease_s = self.settings.deployment.workers.lease_s;
-        let silent_s = lease_s / 2.0;
-        // Who has tasks and was never heard had them under an earlier leader.
-        let silent = |host: &Host| match host.heard {
-            Some(at) => now - at > silent_s,
-            None => !host.bindings.is_empty() && now - self.since > lease_s,
-        };
         let up = self.hosts.iter().filter(|h| h.heard.is_some()).count();
         // When most have missed their latest reports it is this node that is cut off. Counting only
         // those past the longer limit would give back the first few that pass it.
@@ -529,6 +631,16 @@
         let nobody = quiet_s > QUIET_REPORTS * self.fleet.report_s && quiet_s < lease_s;
         let unreached = self.hosts.iter().filter(|h| h.unreached.is_some()).count();
         let cut_off = 2 * unheard > up || 2 * unreached > up || nobody;
+        self.note_cut_zones(now);
+        // A zone that stays away for longer than an outage that is bridged is given up. Once it is
+        // back, all its workers get the time to come again.
+        let waits = |host: &Host| {
+            !host.spot
+                && self.fleet.was_cut(&host.zone)
+                && self
+                    .quiet_since(host)
+                    .is_some_and(|since| now - since < self.hold_over_s)
+        };
         let mut back = Vec::new();
         for host in self.hosts.iter().filter(|host| !host.returning) {
             let ready_s = self
@@ -548,9 +660,12 @@
                 "taken by the cloud"
             } else if never_up {
                 "never came up"
-            } else if silent(host) && !cut_off {
+            } else if self.silent(host, now) && !cut_off && !waits(host) {
                 "silent"
-            } else if host.unreached.is_some_and(|at| now - at > lease_s) && !cut_off {
+            } else if host.unreached.is_some_and(|at| now - at > lease_s)
+                && !cut_off
+                && !waits(host)
+            {
                 "can't be reached"
             } else if host.errors >= MAX_ERRORS {
                 "fails tasks"
--- a/src/coordination/leader/load.rs
+++ b/src/coordination/leader/load.rs
@@ -100,6 +100,7 @@
                 self.fleet.inherit_rental(bid, record);
             }
         }
+        self.first = segments.is_empty() && !self.fleet.is_renting();
         segments.sort_by_key(|(_, segment)| segment.seq);
         // What a host is may have been carried into a later segment than its bindings stand in.
         for (_, segment) in &segments {
@@ -133,7 +134,7 @@
     /// Repeats what a segment of the log says of hosts.
     fn replay_kinds(&mut self, segment: &Segment, now: f64) {
         // An earlier leader may have answered reports until its hold-over ended.
-        let lease_from = self.since + self.hold_over_s;
+        let lease_from = self.others_until;
         for (number, flavor, zone, spot, endpoint, returning) in &segment.kinds {
             let Some(name) = segment.host(*number) else {
                 continue;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -82,13 +82,24 @@
     schedule_due: bool,
     schedule_at: f64,
     push_due: BTreeSet<String>,
-    pushing: HashSet<String>,
+    /// Hosts with a direct call on its way, and whether it may well not be answered.
+    pushing: HashMap<String, bool>,
     pushed_at: HashMap<String, (Vec<Order>, f64)>,
     unplaced: Vec<scheduler::Unplaced>,
     fleet: Fleet,
     notices: Vec<Notice>,
     hold_over_s: f64,
+    /// No leader before this one has written anything: there is no machine of ours.
+    first: bool,
+    /// Until then an earlier leader may have renewed leases.
+    others_until: f64,
+    /// Nodes that know this Epoch, or a higher one.
+    informed: BTreeSet<String>,
     last_report: Option<f64>,
+    /// When this node last did its work, and since when it has done so without a gap: nobody counts
+    /// as silent for the time in which it did not listen.
+    drove_at: f64,
+    awake_since: f64,
     rng: SmallRng,
 }
 
@@ -129,13 +140,22 @@
             schedule_due: true,
             schedule_at: 0.0,
             push_due: BTreeSet::new(),
-            pushing: HashSet::new(),
+            pushing: HashMap::new(),
             pushed_at: HashMap::new(),
             unplaced: Vec::new(),
             fleet: Fleet::new(&settings, epoch, now),
             notices: Vec::new(),
             hold_over_s,
+            first: false,
+            others_until: if settings.seeds.is_empty() {
+                now
+            } else {
+                now + hold_over_s
+            },
+            informed: BTreeSet::new(),
             last_report: None,
+            drove_at: now,
+            awake_since: now,
             rng,
             settings,
             policy,
@@ -148,6 +168,21 @@
         self.epoch
     }
 
+    /// A node has shown that it knows this Epoch, or a higher one: it no longer holds over for an
+    /// earlier one, and never will again. Once all have, nobody else renews any lease.
+    pub fn informed(&mut self, label: &str, now: f64) {
+        let seeds = &self.settings.seeds;
+        if !self.informed.insert(label.to_owned())
+            || !seeds.iter().all(|seed| self.informed.contains(&seed.label))
+        {
+            return;
+        }
+        self.others_until = self.others_until.min(now);
+        for host in self.hosts.iter_mut() {
+            host.lease_from = host.lease_from.min(now);
+        }
+    }
+
     /// What the rest of the node must learn.
     pub fn take_notices(&mut self) -> Vec<Notice> {
         std::mem::take(&mut self.notices)
@@ -282,6 +317,11 @@
 
     /// Does all that is due. `confirmed`: this node certainly holds the lease.
     pub fn drive(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
+        if now - self.drove_at > self.settings.deployment.workers.report_s / 4.0 {
+            tracing::info!(gap_s = now - self.drove_at, "this node stood still");
+            self.awake_since = now;
+        }
+        self.drove_at = now;
         if self.loading() {
             self.drive_loading(out, now);
             return;
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -12,8 +12,9 @@
 /// Orders in one message, well below the size limit of messages.
 const MAX_ORDERS: usize = 300;
 
-/// Report intervals without a report after which a worker is asked directly.
-const PROBE_AFTER: f64 = 1.5;
+/// Report intervals without a report after which a worker is asked directly. They come with a
+/// quarter more at most.
+const PROBE_AFTER: f64 = 1.3;
 
 /// What to answer a worker.
 #[derive(Debug, PartialEq)]
@@ -57,7 +58,7 @@
 
     /// Takes a report from whatever way. False: a newer one is known.
     pub(super) fn take_report(&mut self, report: &Report, by_itself: bool, now: f64) -> bool {
-        let since = self.since + self.hold_over_s;
+        let since = self.others_until;
         let known = self.hosts.get(&report.host).is_some();
         if !known && self.fleet.is_gone(&report.host) {
             return false;
@@ -316,9 +317,11 @@
     }
 
     /// Sends direct commands where the workers don't yet do what is wanted, and this leader's Epoch
-    /// where it is not known yet.
+    /// where it is not known yet. Calls at a time are bounded, and workers that may not answer get a
+    /// part of them only: a zone that is cut off must not keep commands from the others.
     pub(super) fn drive_pushes(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
         let report_s = self.settings.deployment.workers.report_s;
+        let limit = self.settings.deployment.quota.direct_sockets();
         let missed = |host: &Host| {
             host.unreached.is_some()
                 || host
@@ -329,8 +332,9 @@
             self.push_due.insert(host.name.clone());
         }
         let due: Vec<String> = self.push_due.iter().cloned().collect();
+        let mut doubtful: Vec<(f64, String, Vec<Order>)> = Vec::new();
         for name in due {
-            if self.pushing.contains(&name) {
+            if self.pushing.contains_key(&name) {
                 continue;
             }
             let Some(host) = self.hosts.get_mut(&name) else {
@@ -344,11 +348,11 @@
             };
             // A worker that has missed its latest report is asked directly, before it is thought
             // silent: it may only be on its way from a node that does not answer it.
-            let missed = host.acked && !host.marked && missed(host);
+            let probe = host.acked && !host.marked && missed(host);
             let up = host.heard.is_some() || host.listed_up || !host.bindings.is_empty();
             // Clears can wait for the next report.
             let pressing = orders.iter().any(|order| order.verb != Verb::Clear);
-            let wanted = pressing || missed || (!host.acked && !host.marked && up);
+            let wanted = pressing || probe || (!host.acked && !host.marked && up);
             if !wanted || host.endpoint.is_empty() {
                 self.push_due.remove(&name);
                 continue;
@@ -358,32 +362,51 @@
             if last.is_some_and(|(sent, at)| *sent == orders && now - at < report_s / 2.0) {
                 continue;
             }
-            self.push_due.remove(&name);
-            self.pushing.insert(name.clone());
-            host.note_sent(&orders, None);
-            let tenure = host
-                .tenure
-                .max(host.bindings.values().map(|b| b.tenure).max().unwrap_or(1));
-            let commands = Commands {
-                epoch: self.epoch,
-                tenure: Some(tenure.max(1)),
-                orders: orders.clone(),
-            };
-            let ask = WorkerAsk {
-                epoch: self.epoch,
-                host: name.clone(),
-                orders: orders.clone(),
-            };
-            out.worker(
-                ask,
-                host.endpoint.clone(),
-                WorkerCall::Commands(commands),
-                report_s,
-            );
-            self.pushed_at.insert(name, (orders, now));
+            if !host.acked || missed(host) {
+                let at = last.map_or(f64::NEG_INFINITY, |(_, at)| *at);
+                doubtful.push((at, name, orders));
+            } else if self.pushing.len() < limit {
+                self.push(&name, orders, false, out, now);
+            }
+        }
+        let probing = self.pushing.values().filter(|doubtful| **doubtful).count();
+        let free = (limit / 2).saturating_sub(probing);
+        // Those not asked for longest go first.
+        doubtful.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, name, orders) in doubtful.into_iter().take(free) {
+            self.push(&name, orders, true, out, now);
         }
     }
 
+    fn push(&mut self, name: &str, orders: Vec<Order>, doubtful: bool, out: &mut Outbox, now: f64) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        self.push_due.remove(name);
+        self.pushing.insert(name.to_owned(), doubtful);
+        host.note_sent(&orders, None);
+        let tenure = host
+            .tenure
+            .max(host.bindings.values().map(|b| b.tenure).max().unwrap_or(1));
+        let commands = Commands {
+            epoch: self.epoch,
+            tenure: Some(tenure.max(1)),
+            orders: orders.clone(),
+        };
+        let ask = WorkerAsk {
+            epoch: self.epoch,
+            host: name.to_owned(),
+            orders: orders.clone(),
+        };
+        out.worker(
+            ask,
+            host.endpoint.clone(),
+            WorkerCall::Commands(commands),
+            self.settings.deployment.workers.report_s / 2.0,
+        );
+        self.pushed_at.insert(name.to_owned(), (orders, now));
+    }
+
     /// Takes what came of a direct call.
     pub fn pushed(&mut self, ask: &WorkerAsk, reply: WorkerReply, now: f64) {
         self.pushing.remove(&ask.host);
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -15,8 +15,9 @@
 const TURN_MARGIN: f64 = 1.2;
 /// How much less sure that time is for a single running task.
 const TURN_DOUBT: f64 = 4.0;
-/// Waiting tasks that are fitted onto machines one by one; more only make a large demand larger.
-const MAX_FITTED: u32 = 4000;
+/// Waiting tasks that are fitted onto machines one by one, several times what a thousand machines
+/// run; it bounds the work of a round, and what is beyond waits for the next.
+const MAX_FITTED: u32 = 50_000;
 
 /// A machine that is on its way or would be rented, with the room that is left on it.
 struct Bin {
@@ -30,6 +31,9 @@
     flavor: &'a Flavor,
     price: f64,
     blocked: bool,
+    /// Machines that may be asked for in this round; few after a refusal, so that not all demand
+    /// waits for another one.
+    left: u32,
 }
 
 impl Offer<'_> {
@@ -73,10 +77,10 @@
     /// One round of the autoscaler.
     pub(super) fn scale(&mut self, now: f64) {
         let flavors = self.flavors.clone();
-        let offers = self.offers(&flavors, now);
+        let mut offers = self.offers(&flavors, now);
         let mut bins = self.coming(&offers, now);
         let mut demand = vec![Demand::default(); offers.len()];
-        self.fit_demand(&offers, &mut bins, &mut demand, now);
+        self.fit_demand(&mut offers, &mut bins, &mut demand, now);
         let stocks: Vec<Stock> = offers.iter().map(|offer| self.stock(offer, now)).collect();
         let figures: Vec<Figures> = (0..offers.len())
             .map(|i| self.figures(&offers[i], &stocks[i], &demand[i]))
@@ -117,7 +121,9 @@
                     spot,
                 };
                 Offer {
-                    blocked: self.fleet.is_blocked(&key, now),
+                    left: self.fleet.worth_asking(&key),
+                    // What would come up in a zone that is cut off could not be reached either.
+                    blocked: self.fleet.is_blocked(&key, now) || self.fleet.is_cut(&key.zone, now),
                     price: if spot {
                         flavor.market_price.unwrap_or(flavor.hourly)
                     } else {
@@ -265,7 +271,13 @@
     }
 
     /// Fits the waiting tasks onto machines that are coming, then onto machines yet to be rented.
-    fn fit_demand(&self, offers: &[Offer], bins: &mut Vec<Bin>, demand: &mut [Demand], now: f64) {
+    fn fit_demand(
+        &self,
+        offers: &mut [Offer],
+        bins: &mut Vec<Bin>,
+        demand: &mut [Demand],
+        now: f64,
+    ) {
         let mut left = MAX_FITTED;
         // Room that running tasks will give back each second, and who is ahead for it.
         let (freed, running) = self.freed_per_s();
@@ -283,12 +295,12 @@
             let spec = &job.spec;
             let need = scheduler::need(spec);
             let mut zones = job.zones.clone();
-            // Work that may use spot machines waits for them as long as it can still be on time
-            // with an ordinary machine rented later.
+            // Work that may use spot machines waits for them, where there may be any, as long as it
+            // can still be on time with an ordinary machine rented later.
             let time_s = EXPECT_MARGIN * self.fleet.bias * spec.expect_s;
             let patient = |offer: &Offer| {
                 let ready_s = offer.flavor.ready_s;
-                spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
+                job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
             // What will have its turn in time on the machines there are, or sooner than a new one is
             // up, needs no others.
@@ -415,11 +427,13 @@
             self.rent(key, demand.rank, decision.target - machines);
         }
         let surplus = machines.saturating_sub(decision.target) as usize;
+        // Machines in a zone that is cut off are idle only for want of somebody to ask them.
+        let cut = self.fleet.was_cut(&key.zone);
         let mut idle: Vec<&Host> = self
             .hosts
             .iter()
             .filter(|host| {
-                is_in(host, key)
+                !cut && is_in(host, key)
                     && !host.returning
                     && host.heard.is_some()
                     && host.bindings.is_empty()
@@ -442,7 +456,7 @@
 /// A bin for one more task: one that is there, or a new one from the cheapest pool that is not
 /// known to be sold out.
 fn fit(
-    offers: &[Offer],
+    offers: &mut [Offer],
     bins: &mut Vec<Bin>,
     from: usize,
     spec: &JobSpec,
@@ -450,11 +464,15 @@
     zones: &HashMap<String, u32>,
     patient: impl Fn(&Offer) -> bool,
 ) -> Option<usize> {
+    let spot_left = offers.iter().any(|offer| {
+        let key = &offer.key;
+        key.spot && !offer.blocked && offer.left > 0 && spec.allows(&key.flavor, &key.zone, true)
+    });
     let suits = |offer: &Offer| {
         let zone = &offer.key.zone;
         let other = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
         spec.allows(&offer.key.flavor, zone, offer.key.spot)
-            && (offer.key.spot || !patient(offer))
+            && (offer.key.spot || !spot_left || !patient(offer))
             && !other
             && zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
     };
@@ -476,7 +494,10 @@
         .iter()
         .enumerate()
         .filter(|(_, offer)| {
-            !offer.blocked && suits(offer) && Room::of_flavor(offer.flavor).fits(need)
+            !offer.blocked
+                && offer.left > 0
+                && suits(offer)
+                && Room::of_flavor(offer.flavor).fits(need)
         })
         .min_by(|(_, a), (_, b)| {
             let cost = |offer: &Offer| {
@@ -491,5 +512,6 @@
         free: Room::of_flavor(offer.flavor),
         used: false,
     });
+    offers[pool].left -= 1;
     Some(bins.len() - 1)
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -37,15 +37,15 @@
     Source(String),
 }
 
-/// Share of the sockets for users, workers and probes.
-const SERVER_SHARE: f64 = 0.6;
-/// Share of the sockets for calls to workers.
-const WORKER_SHARE: f64 = 0.25;
+/// Share of the sockets that nobody is given: those being closed, and the listeners.
+const SPARE_SHARE: f64 = 0.03;
 /// Sockets for incoming peers, for each of them.
 const INCOMING_PER_PEER: usize = 3;
 /// Connections to the state service: two wait for changes, the others work; more than the calls
 /// that are made at a time, so that a renewal never waits for one.
 const STATE_CONNS: usize = 28;
+/// Where workers report.
+const REPORT_PATH: &str = "/v1/report";
 /// Connections to the cloud.
 const CLOUD_CONNS: usize = 4;
 /// Longest answer of the state service. A watch that brings more is read anew.
@@ -54,8 +54,8 @@
 const CLOUD_BODY: usize = 1024 * 1024;
 /// Longest answer of a worker.
 const WORKER_BODY: usize = 2 * http::MAX_REQUEST_BODY;
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 256;
+/// Connections that may wait to be accepted: after a takeover all workers and users come at once.
+const BACKLOG: i32 = 4096;
 /// Report intervals between two logs of the latencies.
 const REPORTS_PER_LOG: f64 = 24.0;
 /// Ticks in a report interval.
@@ -112,8 +112,14 @@
     let users = listen(settings.bind)?;
     let controllers = listen(settings.peer_bind)?;
     let report_s = settings.deployment.workers.report_s;
-    let sockets = settings.deployment.quota.max_sockets as f64;
-    let share = |part: f64| (sockets * part) as usize;
+    let quota = &settings.deployment.quota;
+    // All that is not set aside for others is for those who come: workers, users and probes.
+    let set_aside = quota.direct_sockets()
+        + (1 + INCOMING_PER_PEER) * settings.seeds.len()
+        + STATE_CONNS
+        + CLOUD_CONNS
+        + (quota.max_sockets as f64 * SPARE_SHARE) as usize;
+    let incoming = quota.max_sockets.saturating_sub(set_aside).max(1);
     let idle_s = report_s * 20.0;
     let mut clients = HashMap::new();
     clients.insert(
@@ -126,7 +132,7 @@
     );
     clients.insert(
         Pool::Workers,
-        Client::new(1, share(WORKER_SHARE), WORKER_BODY, idle_s),
+        Client::new(1, quota.direct_sockets(), WORKER_BODY, idle_s),
     );
     tracing::info!(
         label = settings.label,
@@ -137,7 +143,7 @@
     let life = SmallRng::from_os_rng().random();
     let mut node = Node {
         controller: Controller::new(settings.clone(), Rc::new(policy), life),
-        server: Server::new(share(SERVER_SHARE), idle_s * 2.0, report_s * 4.0),
+        server: Server::new(incoming, idle_s * 2.0, report_s * 4.0),
         clients,
         waiting: HashMap::new(),
         next_call: 1,
@@ -324,6 +330,10 @@
                     return;
                 }
                 After::Serve(to, request) => {
+                    // Workers keep their connections while there is room; users always find some.
+                    if request.path == REPORT_PATH {
+                        self.server.close_if_crowded(to);
+                    }
                     self.controller
                         .request(to, &request.method, &request.path, &request.body, now);
                     // An answer that is there already goes out at once, and the next request in.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -174,6 +174,16 @@
     pub max_sockets: usize,
 }
 
+/// Share of the sockets for direct calls to workers.
+const DIRECT_SHARE: f64 = 0.12;
+
+impl Limits {
+    /// Sockets for direct calls to workers.
+    pub fn direct_sockets(&self) -> usize {
+        (self.max_sockets as f64 * DIRECT_SHARE) as usize
+    }
+}
+
 /// Steady clocks run apart by at most this share.
 pub const DRIFT: f64 = 0.0005;
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -2,7 +2,7 @@
 
 use super::http::{self, Parsed, Response};
 use super::socket::{self, ReadEnd, Wire};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -41,12 +41,25 @@
     connected: bool,
     call: Option<Call>,
     idle_since: f64,
+    /// Its place among the connections without a call.
+    idle_turn: Option<u64>,
+}
+
+/// One destination: the calls that wait for a connection, and its connections.
+#[derive(Default)]
+struct Destination {
+    queue: VecDeque<Call>,
+    conns: Vec<u64>,
 }
 
 /// The pools.
 pub struct Client {
     conns: HashMap<u64, Conn>,
-    queues: HashMap<SocketAddr, VecDeque<Call>>,
+    destinations: HashMap<SocketAddr, Destination>,
+    /// Destinations with calls that wait.
+    waiting: BTreeSet<SocketAddr>,
+    /// Connections without a call, the longest unused first.
+    idle: BTreeMap<u64, u64>,
     done: Vec<(CallId, Outcome)>,
     next: u64,
     per_destination: usize,
@@ -61,7 +74,9 @@
     pub fn new(per_destination: usize, limit: usize, max_body: usize, idle_s: f64) -> Client {
         Client {
             conns: HashMap::new(),
-            queues: HashMap::new(),
+            destinations: HashMap::new(),
+            waiting: BTreeSet::new(),
+            idle: BTreeMap::new(),
             done: Vec::new(),
             next: 1,
             per_destination,
@@ -79,52 +94,67 @@
     /// Makes a call. Returns a new connection that must be registered, if one was opened for it.
     pub fn call(&mut self, call: Call, now: f64) -> Option<u64> {
         let to = call.to;
-        self.queues.entry(to).or_default().push_back(call);
+        let destination = self.destinations.entry(to).or_default();
+        destination.queue.push_back(call);
         self.dispatch(to, now)
     }
 
-    /// Hands waiting calls to free connections, opening one where needed.
+    /// Hands waiting calls to free connections, opening one where needed. What it does is bounded
+    /// by the connections and calls of this destination: there may be a thousand others.
     fn dispatch(&mut self, to: SocketAddr, now: f64) -> Option<u64> {
-        let mut dead = Vec::new();
-        while let Some(queue) = self.queues.get_mut(&to) {
-            if queue.is_empty() {
-                self.queues.remove(&to);
-                break;
+        let opened = self.serve_queue(to, now);
+        let left = self.destinations.get(&to);
+        if left.is_some_and(|d| !d.queue.is_empty()) {
+            self.waiting.insert(to);
+        } else {
+            self.waiting.remove(&to);
+            if left.is_some_and(|d| d.conns.is_empty()) {
+                self.destinations.remove(&to);
+            }
+        }
+        opened
+    }
+
+    fn serve_queue(&mut self, to: SocketAddr, now: f64) -> Option<u64> {
+        loop {
+            let destination = self.destinations.get_mut(&to)?;
+            if destination.queue.is_empty() {
+                return None;
             }
-            let free = self
+            let free = destination
                 .conns
                 .iter()
-                .find(|(id, c)| c.to == to && c.call.is_none() && !dead.contains(*id))
-                .map(|(id, _)| *id);
+                .copied()
+                .find(|id| self.conns.get(id).is_some_and(|c| c.call.is_none()));
             let Some(id) = free else { break };
-            let call = queue.pop_front()?;
+            let call = destination.queue.pop_front()?;
+            self.use_again(id);
             if let Some(conn) = self.conns.get_mut(&id) {
                 let sent = !conn.connected || conn.wire.send(&call.bytes);
                 conn.call = Some(call);
                 if !sent {
-                    dead.push(id);
+                    self.fail(id);
                 }
             }
         }
-        for id in dead {
-            self.fail(id);
-        }
-        let waiting = self.queues.get(&to).map_or(0, VecDeque::len);
-        let open = self.conns.values().filter(|c| c.to == to).count();
-        if waiting == 0 || open >= self.per_destination {
+        if self.destinations.get(&to)?.conns.len() >= self.per_destination {
             return None;
         }
-        if self.conns.len() >= self.limit {
-            self.drop_oldest_idle();
+        if self.conns.len() >= self.limit
+            && let Some((_, oldest)) = self.idle.first_key_value()
+        {
+            self.fail(*oldest);
         }
         if self.conns.len() >= self.limit {
             return None;
         }
+        let destination = self.destinations.entry(to).or_default();
         match socket::connect(to) {
             Ok(stream) => {
-                let call = self.queues.get_mut(&to).and_then(VecDeque::pop_front);
+                let call = destination.queue.pop_front();
                 let id = self.next;
                 self.next += 1;
+                destination.conns.push(id);
                 self.conns.insert(
                     id,
                     Conn {
@@ -133,12 +163,13 @@
                         connected: false,
                         call,
                         idle_since: now,
+                        idle_turn: None,
                     },
                 );
                 Some(id)
             }
             Err(_) => {
-                for call in self.queues.remove(&to).into_iter().flatten() {
+                for call in destination.queue.drain(..) {
                     self.done.push((call.id, Outcome::NotSent));
                 }
                 None
@@ -146,23 +177,37 @@
         }
     }
 
-    fn drop_oldest_idle(&mut self) {
-        let oldest = self
-            .conns
-            .iter()
-            .filter(|(_, conn)| conn.call.is_none())
-            .min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))
-            .map(|(id, _)| *id);
-        if let Some(id) = oldest {
-            self.conns.remove(&id);
+    /// A connection has no call any more.
+    fn set_idle(&mut self, id: u64, now: f64) {
+        self.next += 1;
+        let turn = self.next;
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.idle_since = now;
+            conn.idle_turn = Some(turn);
+            self.idle.insert(turn, id);
+        }
+    }
+
+    /// A connection is no longer without a call.
+    fn use_again(&mut self, id: u64) {
+        if let Some(turn) = self.conns.get_mut(&id).and_then(|c| c.idle_turn.take()) {
+            self.idle.remove(&turn);
         }
     }
 
     /// Ends a connection and the call on it.
     fn fail(&mut self, id: u64) {
-        if let Some(conn) = self.conns.remove(&id)
-            && let Some(call) = conn.call
-        {
+        self.use_again(id);
+        let Some(conn) = self.conns.remove(&id) else {
+            return;
+        };
+        if let Some(destination) = self.destinations.get_mut(&conn.to) {
+            destination.conns.retain(|other| *other != id);
+            if destination.conns.is_empty() && destination.queue.is_empty() {
+                self.destinations.remove(&conn.to);
+            }
+        }
+        if let Some(call) = conn.call {
             let outcome = if conn.connected {
                 Outcome::Silent
             } else {
@@ -177,6 +222,7 @@
         let conn = self.conns.get_mut(&id)?;
         let to = conn.to;
         let mut alive = true;
+        let mut answered = false;
         if !conn.connected {
             match conn.wire.connected() {
                 None => return None,
@@ -201,9 +247,9 @@
                     Ok(Parsed::Whole(response, used)) => {
                         conn.wire.consume(used);
                         alive &= response.keep_alive && conn.wire.inbox.is_empty();
-                        conn.idle_since = now;
                         if let Some(call) = conn.call.take() {
                             self.done.push((call.id, Outcome::Answer(response)));
+                            answered = true;
                         }
                     }
                     Ok(Parsed::Partial { .. }) => {}
@@ -215,6 +261,8 @@
         }
         if !alive {
             self.fail(id);
+        } else if answered {
+            self.set_idle(id, now);
         }
         self.dispatch(to, now)
     }
@@ -234,18 +282,19 @@
         for id in late {
             self.fail(id);
         }
-        for queue in self.queues.values_mut() {
-            while queue.front().is_some_and(|call| now >= call.until) {
-                if let Some(call) = queue.pop_front() {
-                    self.done.push((call.id, Outcome::NotSent));
+        let mut opened = Vec::new();
+        for to in self.waiting.clone() {
+            if let Some(destination) = self.destinations.get_mut(&to) {
+                let queue = &mut destination.queue;
+                while queue.front().is_some_and(|call| now >= call.until) {
+                    if let Some(call) = queue.pop_front() {
+                        self.done.push((call.id, Outcome::NotSent));
+                    }
                 }
             }
+            opened.extend(self.dispatch(to, now));
         }
-        let waiting: Vec<SocketAddr> = self.queues.keys().copied().collect();
-        waiting
-            .into_iter()
-            .filter_map(|to| self.dispatch(to, now))
-            .collect()
+        opened
     }
 
     /// Takes the calls that have ended.
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -11,6 +11,9 @@
 /// Unread bytes that a connection may have.
 const MAX_UNREAD: usize = 2 * http::MAX_REQUEST_BODY + 2 * http::MAX_HEAD;
 
+/// Share of the connections beyond which there are few left.
+const CROWDED: f64 = 0.85;
+
 /// What to do with a connection after it was touched.
 #[derive(Debug, PartialEq, Eq)]
 pub enum After {
@@ -92,6 +95,19 @@
         self.conns.get(&id).map(|conn| conn.wire.stream())
     }
 
+    /// Has the connection of a request closed after its answer if few are left: its sender comes
+    /// again with a new one, and nobody has to be turned away.
+    pub fn close_if_crowded(&mut self, request: RequestId) {
+        let crowded = self.conns.len() as f64 > CROWDED * self.limit as f64;
+        if let Some(id) = self.waiting.get(&request)
+            && crowded
+            && let Some(conn) = self.conns.get_mut(id)
+            && let Some((_, keep_alive)) = &mut conn.serving
+        {
+            *keep_alive = false;
+        }
+    }
+
     /// Number of connections.
     pub fn len(&self) -> usize {
         self.conns.len()
