A zone is cut off once a third of its machines is late; attempts kept while copies may follow

Cause: the share heard in half an interval also falls when all report together, which blocked rentals (found in the simulated world). A copy of a direct start that was answered would run a stopped and cleared task again: such attempts are kept while session and Epoch last; beyond 64 of them starts go in answers to reports. Tests: standstill, zones cut off, mass loss, repeats, slow state service, refused peers, ends of all, at three and five controllers.

--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -1,7 +1,7 @@
 //! Hosts, the tasks bound to them and what their workers say.
 
 use crate::protocol::cloud::Flavor;
-use crate::protocol::worker::{Order, Report, StepReport, StepStatus, TaskId, Verb};
+use crate::protocol::worker::{Cause, Order, Report, StepReport, StepStatus, TaskId, Verb};
 use std::collections::BTreeMap;
 
 /// Resources of a machine or a task.
@@ -128,6 +128,16 @@
     pub lost: bool,
     /// Sent in the answer to the report with this tick; settled by the next report.
     pub answered: Option<u64>,
+    /// Sent by a direct command that was answered: a copy of it may follow as long as the session and
+    /// the Epoch last.
+    pub copies: bool,
+}
+
+impl InFlight {
+    /// Whether the start itself may still arrive.
+    fn is_open(&self) -> bool {
+        self.direct || self.lost || self.answered.is_some()
+    }
 }
 
 /// A machine and its worker.
@@ -184,6 +194,9 @@
     pub listed_up: bool,
 }
 
+/// Attempts kept on a host because they can't be cleared, beyond which direct starts are avoided: a
+/// small part of what a report may hold.
+const MAX_KEPT: usize = 64;
 /// Images remembered of each host.
 const IMAGES: usize = 16;
 
@@ -266,7 +279,38 @@
 
     /// Whether a start of this attempt may still be on its way to the worker.
     pub fn start_in_flight(&self, task: &TaskId, attempt: u64) -> bool {
-        self.in_flight.contains_key(&(task.clone(), attempt))
+        let way = self.in_flight.get(&(task.clone(), attempt));
+        way.is_some_and(InFlight::is_open)
+    }
+
+    /// Whether an exited attempt may be cleared: after that, a start that arrives late, or once more,
+    /// would run it again. Copies do no harm to a task that is done, whose result is kept.
+    fn may_clear(&self, task: &TaskId, step: &StepReport) -> bool {
+        let way = self.in_flight.get(&(task.clone(), step.attempt));
+        way.is_none_or(|way| !way.is_open() && (step.cause == Some(Cause::Done) || !way.copies))
+    }
+
+    /// Whether so many attempts can't be cleared that further starts should go in answers to reports,
+    /// of which there are no copies; reports must not grow without bound.
+    pub fn keeps_many(&self) -> bool {
+        self.in_flight
+            .values()
+            .filter(|way| way.lost || way.copies)
+            .count()
+            > MAX_KEPT
+    }
+
+    /// Forgets the starts of attempts that are neither bound nor shown any more, where only copies
+    /// might follow: these were cleared.
+    pub fn forget_cleared(&mut self) {
+        let (steps, bindings) = (&self.steps, &self.bindings);
+        self.in_flight.retain(|(task, attempt), way| {
+            way.is_open()
+                || steps
+                    .get(task)
+                    .is_some_and(|shown| shown.iter().any(|step| step.attempt == *attempt))
+                || bindings.get(task).is_some_and(|b| b.attempt == *attempt)
+        });
     }
 
     /// Notes that the starts among these orders went out, directly or in the answer to a report.
@@ -293,9 +337,9 @@
             {
                 way.direct = false;
                 way.lost |= lost;
+                way.copies |= !lost;
             }
         }
-        self.drop_settled();
     }
 
     /// Notes a report that the worker sent by itself: since it has one in flight at a time, the
@@ -306,12 +350,7 @@
                 way.answered = None;
             }
         }
-        self.drop_settled();
-    }
-
-    fn drop_settled(&mut self) {
-        self.in_flight
-            .retain(|_, way| way.direct || way.lost || way.answered.is_some());
+        self.in_flight.retain(|_, way| way.is_open() || way.copies);
     }
 
     /// The orders that turn what the latest report shows into what is wanted. Starts only where
@@ -349,7 +388,7 @@
                         }
                     }
                     None if exited => {
-                        if !self.start_in_flight(task, step.attempt) {
+                        if self.may_clear(task, step) {
                             orders.push(order(Verb::Clear, step.step.clone(), step.attempt, None));
                         }
                     }
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -139,10 +139,11 @@
 pub(super) const MISSED_REPORTS: f64 = 1.5;
 /// Machines that may fall silent together by chance.
 const FEW: usize = 6;
-/// Part of a report interval in which that part of a zone's machines should be heard.
-const LATELY: f64 = 0.5;
-/// Share of those that should be heard, below which it is hardly any.
-const HARDLY: f64 = 0.25;
+/// Report intervals after which a report is late. They come with a quarter more at most, so that
+/// even if all machines report at the same moment three in ten are late at most.
+const LATE_REPORTS: f64 = 1.1;
+/// Share of a zone's machines that are late, from which the zone is taken to be cut off.
+const LATE_SHARE: f64 = 0.35;
 /// Looks for machines to be given back in a report interval.
 const LOOKS_PER_REPORT: f64 = 8.0;
 /// Rounds of the autoscaler in the time of the quickest boot.
@@ -574,25 +575,23 @@
         })
     }
 
-    /// Zones of which most machines are quiet at once, or hardly any was heard lately: these are cut
-    /// off, not so many dead machines. What runs there may go on, and comes back with the zone; a
-    /// deletion would only add a boot.
+    /// Zones of which so many machines are late with their reports at once that they are cut off, not
+    /// so many dead machines. What runs there may go on, and comes back with the zone; a deletion
+    /// would only add a boot. This shows before the first of them counts as silent.
     fn cut_zones(&self, now: f64) -> BTreeSet<String> {
-        let report_s = self.settings.deployment.workers.report_s;
-        let mut zones: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
+        let late_s = LATE_REPORTS * self.settings.deployment.workers.report_s;
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for host in self.hosts.iter().filter(|host| !host.returning) {
             if let Some(since) = self.quiet_since(host) {
-                let [there, missed, lately] = zones.entry(&host.zone).or_default();
+                let (there, late) = zones.entry(&host.zone).or_default();
                 *there += 1;
-                *missed += usize::from(now - since > MISSED_REPORTS * report_s);
-                *lately += usize::from(now - since < LATELY * report_s);
+                *late += usize::from(now - since > late_s);
             }
         }
         zones
             .into_iter()
-            .filter(|(_, [there, missed, lately])| {
-                let hardly = (*lately as f64) < HARDLY * LATELY * *there as f64;
-                *there >= FEW && (2 * missed > *there || hardly)
+            .filter(|(_, (there, late))| {
+                *there >= FEW && *late as f64 >= LATE_SHARE * *there as f64
             })
             .map(|(zone, _)| zone.to_owned())
             .collect()
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -133,6 +133,7 @@
             }
         }
         host.steps = steps;
+        host.forget_cleared();
         let name = report.host.clone();
         if new_session {
             // A new session has killed and forgotten all tasks of the earlier ones.
@@ -341,11 +342,14 @@
                 self.push_due.remove(&name);
                 continue;
             };
-            let orders = if host.acked {
+            let mut orders = if host.acked {
                 host.orders(confirmed, MAX_ORDERS)
             } else {
                 Vec::new()
             };
+            if host.keeps_many() {
+                orders.retain(|order| order.verb != Verb::Start);
+            }
             // A worker that has missed its latest report is asked directly, before it is thought
             // silent: it may only be on its way from a node that does not answer it.
             let probe = host.acked && !host.marked && missed(host);
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -303,11 +303,13 @@
                 job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
             // What will have its turn in time on the machines there are, or sooner than a new one is
-            // up, needs no others.
+            // up, needs no others. Who has waited for longer than that was not told the truth: others
+            // keep coming that go first.
             let served = |ahead: f64| {
                 let turn_s = margin * ahead / freed.max(1e-6);
                 let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
-                freed > 0.0 && !job.standing() && (on_time || turn_s <= ready_s)
+                let soon = unplaced.age_s + turn_s <= ready_s;
+                freed > 0.0 && !job.standing() && (on_time || soon)
             };
             // Bins that have no room for one task have none for the next.
             let mut from = 0;
--- a/tests/bindings.rs
+++ b/tests/bindings.rs
@@ -154,6 +154,43 @@
     }
 }
 
+/// A copy of a direct start that was answered may follow as long as the session and the Epoch last.
+/// An attempt that was stopped is kept till then: cleared, it would run beside its successor.
+#[test]
+fn copies_of_starts() {
+    use cedarladder::protocol::worker::StepStatus::Exited;
+    type Steps = fn(&mut Host, &[cedarladder::protocol::worker::Order]);
+    let direct: Steps = |h, o| {
+        h.note_sent(o, None);
+        h.settle_direct(o, false);
+    };
+    let answer: Steps = |h, o| {
+        h.note_sent(o, Some(5));
+        h.settle_answers(6);
+    };
+    for (name, steps, cause, cleared) in [
+        ("direct, done", direct, Cause::Done, true),
+        ("direct, stopped", direct, Cause::Stopped, false),
+        ("direct, refused", direct, Cause::Full, false),
+        ("in an answer, stopped", answer, Cause::Stopped, true),
+    ] {
+        let mut host = host("h", "a", false);
+        bound(&mut host, |_| {});
+        let orders = host.orders(true, 10);
+        steps(&mut host, &orders);
+        let task = task("j-1", 0);
+        host.bindings.remove(&task);
+        host.steps
+            .insert(task.clone(), vec![step(&task, 7, Exited, Some(cause))]);
+        host.forget_cleared();
+        assert_eq!(!host.orders(true, 10).is_empty(), cleared, "{name}");
+        // Once it is cleared nothing is kept of it.
+        host.steps.clear();
+        host.forget_cleared();
+        assert!(host.in_flight.is_empty(), "{name}");
+    }
+}
+
 /// A start is on its way until every copy of it is accounted for.
 #[test]
 fn starts_on_their_way() {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -18,7 +18,7 @@
 #[test]
 fn each_trouble() {
     type Trouble = fn(&mut World);
-    let cases: [(&str, Trouble); 11] = [
+    let cases: [(&str, Trouble); 22] = [
         ("copies of reports come late", |w| {
             w.weather.copies = 0.5;
             w.run(90.0);
@@ -85,6 +85,88 @@
             w.run(60.0);
             w.weather.late = 0.0;
         }),
+        ("what was carried out is asked once more", |w| {
+            w.weather.repeats = 0.3;
+            for at in [20.0, 33.0, 46.0] {
+                w.run(at);
+                w.reboot_machine(0, false);
+                w.restart_leader(0.2);
+                w.run(at + 4.0);
+                w.unreach_machine(1, 5.0);
+            }
+            w.run(90.0);
+            w.weather.repeats = 0.0;
+        }),
+        ("a leader stands still for less than its lease", |w| {
+            for i in 0..6 {
+                w.run(20.0 + 5.0 * f64::from(i));
+                w.freeze_leader(0.4 + 0.25 * f64::from(i));
+            }
+        }),
+        ("a leader stands still, and another takes over", |w| {
+            w.run(25.0);
+            w.freeze_leader(6.0);
+            w.run(40.0);
+            w.freeze_leader(16.0);
+        }),
+        ("a leader stands still for longer than its hold-over", |w| {
+            w.run(25.0);
+            w.freeze_leader(34.0);
+        }),
+        ("a zone is cut off, with the leader outside", |w| {
+            w.run(25.0);
+            w.cut_zone("b", false, 0, 21.0);
+            w.run(32.0);
+            w.restart_leader(3.0);
+        }),
+        ("a zone is cut off, with the leader in it", |w| {
+            w.run(25.0);
+            w.cut_zone("b", true, 0, 21.0);
+        }),
+        (
+            "a zone is cut off with the leader and another node, for longer than its hold-over",
+            |w| {
+                w.run(25.0);
+                w.cut_zone("a", true, 1, 36.0);
+            },
+        ),
+        ("many machines are lost at once", |w| {
+            w.run(25.0);
+            for _ in 0..4 {
+                w.take_machine();
+            }
+            w.cut_machine(0, 8.0);
+            w.cut_machine(1, 25.0);
+            w.cut_machine(2, 40.0);
+        }),
+        ("all controllers end twice, once in an outage", |w| {
+            w.outage(24.0, 31.0);
+            for (node, at) in [(0, 27.0), (1, 27.0), (2, 27.1)] {
+                w.crash(node, at, at + 3.0);
+                w.crash(node, at + 20.0, at + 23.0);
+            }
+            for node in 3..w.nodes() {
+                w.crash(node, 27.0, 30.0);
+                w.crash(node, 47.0, 50.0);
+            }
+        }),
+        ("the state service is slow while the leader changes", |w| {
+            w.run(18.0);
+            w.weather.slow_s = 0.12;
+            w.run(25.0);
+            w.restart_leader(3.0);
+            w.run(33.0);
+            w.isolate_leader(12.0);
+            w.run(60.0);
+            w.weather.slow_s = 0.0;
+        }),
+        ("nodes refuse one another while the leader changes", |w| {
+            w.run(24.0);
+            w.refuse_peers(30.0);
+            w.restart_leader(4.0);
+            w.run(40.0);
+            w.mute_leader(9.0);
+        }),
         ("machines are back at once and empty", |w| {
             for i in 0..6 {
                 w.run(20.0 + 6.0 * f64::from(i));
@@ -103,6 +185,89 @@
     }
 }
 
+/// A zone that is cut off keeps its ordinary machines, wherever the leader is: they come back with it,
+/// where others would have to boot. With the leader inside, no session is lost there.
+#[test]
+fn a_zone_cut_off() {
+    for nodes in [3, 5] {
+        for inside in [false, true] {
+            let name = format!("{nodes} controllers, leader inside: {inside}");
+            let mut world = World::sized(7, nodes, 12);
+            for n in 0..8 {
+                world.user(n, 0.5, (8, 0.0, true, false), None);
+                world.user(
+                    100 + n,
+                    1.0 + 4.0 * f64::from(n),
+                    (12, 6.0, false, true),
+                    None,
+                );
+            }
+            world.run(40.0);
+            let before = world.machines_in("b", false);
+            assert!(before.len() >= 8, "{name}: {before:?}");
+            assert!(world.cut_zone("b", inside, 0, 21.0), "{name}");
+            world.run(61.0);
+            let kept = world.machines_in("b", false);
+            assert!(kept.is_superset(&before), "{name}: {before:?}, {kept:?}");
+            if inside {
+                assert_eq!(world.lost_sessions_in("b"), 0, "{name}");
+            }
+            world.run(75.0);
+            assert_eq!(
+                world.standing_without_task(),
+                0,
+                "{name}: replicas are back"
+            );
+            world.run(200.0);
+            check(&world, &name);
+        }
+    }
+}
+
+/// After a standstill nobody counts as silent for the time in which the node did not listen.
+#[test]
+fn a_standstill_gives_back_nothing() {
+    for nodes in [3, 5] {
+        let mut world = World::sized(3, nodes, 12);
+        for n in 0..8 {
+            world.user(n, 0.5, (8, 0.0, true, false), None);
+        }
+        world.run(40.0);
+        for i in 0..5 {
+            world.run(40.0 + 12.0 * f64::from(i));
+            world.freeze_leader(1.0 + 1.6 * f64::from(i));
+        }
+        world.run(120.0);
+        assert_eq!(world.deleted_busy, 0, "{nodes} controllers");
+        assert_eq!(world.lost_sessions(), 0, "{nodes} controllers");
+        check(&world, &format!("{nodes} controllers"));
+    }
+}
+
+/// A dead machine leaves direct calls unanswered, and is replaced before its lease is half over.
+#[test]
+fn dead_machines_are_replaced_soon() {
+    let mut world = World::sized(9, 3, 30);
+    for n in 0..24 {
+        world.user(n, 0.5, (8, 0.0, true, false), None);
+    }
+    world.run(40.0);
+    let dead: Vec<String> = [1, 4, 7]
+        .iter()
+        .filter_map(|nth| world.cut_machine(*nth, 1000.0))
+        .collect();
+    assert_eq!(dead.len(), 3);
+    world.run(41.5);
+    assert!(dead.iter().all(|name| world.has_machine(name)), "too soon");
+    // A report interval with its quarter more, a call, and half a second to be given back.
+    world.run(40.0 + 1.3 * 2.0 + 1.0 + 0.6);
+    assert!(dead.iter().all(|name| !world.has_machine(name)), "too late");
+    world.run(58.0);
+    assert_eq!(world.standing_without_task(), 0);
+    world.run(120.0);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
 /// A machine that hears nothing gets no new work, and is given back if this lasts; its tasks run
 /// elsewhere.
 #[test]
@@ -168,7 +333,7 @@
 /// All troubles at once, old and new, at three and five controllers; the seeds are fixed.
 #[test]
 fn storms() {
-    for seed in 0..14u64 {
+    for seed in 0..20u64 {
         let nodes = if seed % 2 == 0 { 5 } else { 3 };
         let mut world = World::sized(seed, nodes, 3);
         jobs(&mut world);
@@ -176,6 +341,8 @@
             lost: 0.02,
             late: 0.02,
             copies: 0.1,
+            repeats: 0.05,
+            slow_s: if seed % 4 == 1 { 0.06 } else { 0.0 },
         };
         let shift = (seed % 7) as f64;
         if seed % 3 == 0 {
@@ -184,7 +351,7 @@
         for i in 0..9u32 {
             world.run(15.0 + 7.0 * f64::from(i) + shift);
             let nth = (seed + u64::from(i)) as usize % 5;
-            match (u64::from(i) + seed) % 8 {
+            match (u64::from(i) + seed) % 11 {
                 0 => {
                     world.restart_leader(0.2);
                 }
@@ -195,13 +362,22 @@
                 3 => {
                     world.isolate_leader(8.0 + 5.0 * shift);
                 }
-                4 => world.cut_machine(nth, 3.0 + 3.0 * shift),
+                4 => {
+                    world.cut_machine(nth, 3.0 + 3.0 * shift);
+                }
                 5 => {
                     world.mute_leader(5.0 + 3.0 * shift);
                 }
                 6 => {
                     world.take_machine();
                 }
+                7 => {
+                    world.freeze_leader(1.0 + 2.0 * shift);
+                }
+                8 => {
+                    world.cut_zone("b", seed % 2 == 0, 1, 6.0 + 4.0 * shift);
+                }
+                9 => world.refuse_peers(15.0),
                 _ => {
                     world.restart_leader(5.0);
                 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -36,8 +36,20 @@
     pub late: f64,
     /// A copy of a report comes late, by seconds to well over a lease.
     pub copies: f64,
+    /// A request that was carried out comes once more, by seconds to well over a lease later.
+    pub repeats: f64,
+    /// Seconds that the state service takes for an answer, beyond the usual.
+    pub slow_s: f64,
 }
 
+/// A zone that is cut off from everything, with the controllers in it.
+struct Cut {
+    zone: &'static str,
+    nodes: Vec<usize>,
+    until: f64,
+}
+
+#[derive(Clone)]
 enum What {
     Tick(usize, u64),
     StoreAt(usize, u64, u64, StoreCall),
@@ -301,6 +313,11 @@
     muted: Vec<f64>,
     /// Nodes that reach neither the state service nor other nodes, but their workers, until then.
     alone: Vec<f64>,
+    /// Nodes that stand still until then, while their clocks run on.
+    frozen: Vec<f64>,
+    cut: Option<Cut>,
+    /// Until then nodes refuse one another's connections.
+    peers_refuse: f64,
     /// Machines that each pool of the cloud has.
     pool: u32,
     pub counts: Counts,
@@ -382,6 +399,9 @@
             deleted_busy: 0,
             muted: vec![0.0; nodes],
             alone: vec![0.0; nodes],
+            frozen: vec![0.0; nodes],
+            cut: None,
+            peers_refuse: 0.0,
             pool,
             counts: Counts::default(),
         };
@@ -483,8 +503,42 @@
         }
     }
 
+    /// The node that something comes to.
+    fn comes_to(what: &What) -> Option<usize> {
+        match what {
+            What::Tick(i, _)
+            | What::StoreBack(i, ..)
+            | What::CloudBack(i, ..)
+            | What::WorkerBack(i, ..)
+            | What::BeatAt(i, _)
+            | What::ReportAt(i, ..)
+            | What::CopyAt(i, _)
+            | What::UserAt(i, ..) => Some(*i),
+            _ => None,
+        }
+    }
+
+    /// Whether the cut is between a node and a zone.
+    fn is_cut(&self, node: usize, zone: &str) -> bool {
+        let cut = self.cut.as_ref().filter(|cut| self.now < cut.until);
+        cut.is_some_and(|cut| cut.nodes.contains(&node) != (cut.zone == zone))
+    }
+
+    /// Whether a node is within the zone that is cut off.
+    fn is_inside(&self, node: usize) -> bool {
+        let cut = self.cut.as_ref().filter(|cut| self.now < cut.until);
+        cut.is_some_and(|cut| cut.nodes.contains(&node))
+    }
+
     fn step(&mut self, what: What) {
         let now = self.clock();
+        if let Some(until) = World::comes_to(&what).map(|i| self.frozen[i])
+            && self.now < until
+        {
+            // It waits, in order.
+            self.at(until, what);
+            return;
+        }
         match what {
             What::Restart(i) => {
                 if self.nodes[i].is_none() {
@@ -542,7 +596,15 @@
             | What::CopyAt(i, _)
             | What::BeatAt(i, _)
                 if self.now < self.muted[i] => {}
-            What::BeatAt(i, _) if self.now < self.alone[i] => {}
+            What::BeatAt(i, _) if self.now < self.alone[i].max(self.peers_refuse) => {}
+            What::ReportAt(i, ref name, _)
+                if self
+                    .workers
+                    .get(name)
+                    .is_some_and(|w| self.is_cut(i, &w.zone)) => {}
+            What::UserAt(i, user, ask) if self.is_inside(i) => {
+                self.after(1.0, What::UserBack(user, ask, 599, Vec::new()));
+            }
             What::Nobody => {}
             What::CopyAt(i, report) => {
                 let body = cbor::encode(&*report);
@@ -627,7 +689,7 @@
                     let silent = What::StoreBack(i, life, tag, StoreReply::Silent);
                     self.after(within_s, silent);
                     self.count(&call);
-                    if self.now < self.alone[i] {
+                    if self.now < self.alone[i] || self.is_inside(i) {
                         continue;
                     }
                     self.send(What::StoreAt(i, life, tag, call));
@@ -639,6 +701,9 @@
                 } => {
                     let silent = What::CloudBack(i, life, tag, CloudReply::Silent);
                     self.after(within_s, silent);
+                    if self.is_inside(i) {
+                        continue;
+                    }
                     self.send(What::CloudAt(i, life, tag, call));
                 }
                 Action::Worker {
@@ -655,6 +720,9 @@
                 Action::Beat(_) if self.now < self.muted[i].max(self.alone[i]) => {}
                 Action::Beat(beat) => {
                     for peer in (0..self.nodes.len()).filter(|peer| *peer != i) {
+                        if self.is_inside(i) != self.is_inside(peer) {
+                            continue;
+                        }
                         self.after(0.001, What::BeatAt(peer, beat.clone()));
                     }
                 }
@@ -672,6 +740,11 @@
 
     /// A request on its way: usually soon there, at times long after its sender gave up.
     fn send(&mut self, what: What) {
+        if self.weather.repeats > 0.0 && self.rng.random::<f64>() < self.weather.repeats {
+            // Whoever asked has its answer already, and takes no notice of another.
+            let later = 1.0 + self.rng.random::<f64>() * 3.0 * LEASE_S;
+            self.after(later, what.clone());
+        }
         let late = self.rng.random::<f64>() < self.weather.late;
         let delay = if late {
             2.0 + self.rng.random::<f64>() * 20.0
@@ -704,7 +777,10 @@
             return;
         }
         let reply = self.store.call(&call, self.now);
-        self.deliver(0.003, What::StoreBack(i, life, tag, reply));
+        self.deliver(
+            0.003 + self.weather.slow_s,
+            What::StoreBack(i, life, tag, reply),
+        );
     }
 
     fn answer_follows(&mut self) {
@@ -808,8 +884,7 @@
 
     /// Cuts the leader off from all but the state service. False: nobody leads.
     pub fn mute_leader(&mut self, for_s: f64) -> bool {
-        let leads = |n: &Option<Controller>| n.as_ref().is_some_and(Controller::leads);
-        match self.nodes.iter().position(leads) {
+        match self.leader() {
             Some(leader) => {
                 self.muted[leader] = self.now + for_s;
                 true
@@ -821,8 +896,7 @@
     /// Cuts the leader off from the state service and the other nodes, not from its workers. False:
     /// nobody leads.
     pub fn isolate_leader(&mut self, for_s: f64) -> bool {
-        let leads = |n: &Option<Controller>| n.as_ref().is_some_and(Controller::leads);
-        match self.nodes.iter().position(leads) {
+        match self.leader() {
             Some(leader) => {
                 self.alone[leader] = self.now + for_s;
                 // Watches that are open stay open, and bring nothing.
@@ -833,10 +907,62 @@
         }
     }
 
+    /// The node that leads, confirmed or held over.
+    fn leader(&self) -> Option<usize> {
+        let leads = |n: &Option<Controller>| n.as_ref().is_some_and(Controller::leads);
+        self.nodes.iter().position(leads)
+    }
+
+    /// The leader stands still for a while; its clocks run on. False: nobody leads.
+    pub fn freeze_leader(&mut self, for_s: f64) -> bool {
+        let leader = self.leader();
+        if let Some(leader) = leader {
+            self.frozen[leader] = self.now + for_s;
+        }
+        leader.is_some()
+    }
+
+    /// Cuts a zone off from everything, with the leader inside or outside, and as many of the other
+    /// nodes as are said. False: nobody leads.
+    pub fn cut_zone(
+        &mut self,
+        zone: &'static str,
+        leader: bool,
+        others: usize,
+        for_s: f64,
+    ) -> bool {
+        let Some(first) = self.leader() else {
+            return false;
+        };
+        let rest = (0..self.nodes.len()).filter(|i| *i != first).take(others);
+        let nodes = rest.chain(leader.then_some(first)).collect();
+        let until = self.now + for_s;
+        self.cut = Some(Cut { zone, nodes, until });
+        // Watches that are open stay open, and bring nothing.
+        let inside: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.is_inside(*i))
+            .collect();
+        self.store.follows.retain(|f| !inside.contains(&f.0));
+        true
+    }
+
+    /// Nodes refuse one another's connections.
+    pub fn refuse_peers(&mut self, for_s: f64) {
+        self.peers_refuse = self.now + for_s;
+    }
+
+    /// Names of the machines of a zone.
+    pub fn machines_in(&self, zone: &str, spot: bool) -> BTreeSet<String> {
+        let there = self
+            .machines
+            .values()
+            .filter(|m| m.zone == zone && m.spot == spot);
+        there.map(|m| m.name.clone()).collect()
+    }
+
     /// Restarts the leader, which is back after a moment. False: nobody leads.
     pub fn restart_leader(&mut self, back_s: f64) -> bool {
-        let leads = |n: &Option<Controller>| n.as_ref().is_some_and(Controller::leads);
-        let leader = self.nodes.iter().position(leads);
+        let leader = self.leader();
         if let Some(leader) = leader {
             let now = self.now;
             self.crash(leader, now, now + back_s);
@@ -890,11 +1016,11 @@
     }
 
     /// Makes a machine deaf and mute for a while.
-    pub fn cut_machine(&mut self, nth: usize, for_s: f64) {
+    pub fn cut_machine(&mut self, nth: usize, for_s: f64) -> Option<String> {
         let until = self.now + for_s;
-        if let Some(worker) = self.workers.values_mut().nth(nth) {
-            worker.deaf_until = until;
-        }
+        let worker = self.workers.values_mut().nth(nth)?;
+        worker.deaf_until = until;
+        Some(worker.name.clone())
     }
 
     fn wake(&mut self, name: &str) {
@@ -972,6 +1098,13 @@
         if (worker.tenure, tick) != key || now < worker.deaf_until.max(worker.unreached_until) {
             return;
         }
+        let (at, zone) = (worker.at, worker.zone.clone());
+        if self.is_cut(at, &zone) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
         worker.sent = None;
         worker.next_report = now + 2.0;
         match status {
@@ -1019,10 +1152,20 @@
         if now < worker.unreached_until {
             return;
         }
-        if now < worker.deaf_until {
+        let zone = worker.zone.clone();
+        let cut = self.is_cut(i, &zone);
+        let Some(worker) = self.workers.get_mut(host) else {
+            return;
+        };
+        if now < worker.deaf_until || cut {
             // Held, and delivered after the interruption.
             let again = What::WorkerAt(i, life, tag, host.to_owned(), call.clone());
-            let until = worker.deaf_until;
+            let back = self
+                .cut
+                .as_ref()
+                .filter(|_| cut)
+                .map_or(0.0, |cut| cut.until);
+            let until = worker.deaf_until.max(back);
             self.at(until, again);
             return;
         }
@@ -1271,6 +1414,41 @@
             .collect()
     }
 
+    /// Workers of a zone that have lost a session to their lease.
+    pub fn lost_sessions_in(&self, zone: &str) -> usize {
+        let there = self.workers.values().filter(|w| w.zone == zone);
+        there.filter(|w| w.tenure > 1).count()
+    }
+
+    /// Replicas that run on no machine that can be reached.
+    pub fn standing_without_task(&self) -> usize {
+        let wanted: u32 = self
+            .users
+            .iter()
+            .filter(|u| u.standing && u.accepted && u.told_cancelled.is_none())
+            .map(|u| u.tasks)
+            .sum();
+        let standing = |step: &str| {
+            let job = step.split('/').next();
+            self.users
+                .iter()
+                .any(|u| u.standing && job == Some(u.id.as_str()))
+        };
+        let there = self
+            .workers
+            .values()
+            .filter(|w| self.now >= w.deaf_until)
+            .flat_map(Worker::running)
+            .filter(|(step, _)| standing(step))
+            .count();
+        (wanted as usize).saturating_sub(there)
+    }
+
+    /// Number of controllers.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Workers that have lost a session to their lease.
     pub fn lost_sessions(&self) -> usize {
         self.workers.values().filter(|w| w.tenure > 1).count()
