--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -583,6 +583,7 @@
             return;
         }
         self.beat_at = now + self.report_s() / 2.5;
+        self.out.log_refused();
         let window_s = self.report_s() * 2.0;
         self.knocks.retain(|_, at| now - *at < window_s);
         let counts = match &self.leader {
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -295,12 +295,12 @@
             let spec = &job.spec;
             let need = scheduler::need(spec);
             let mut zones = job.zones.clone();
-            // Work that may use spot machines waits for them, where there may be any, as long as it
-            // can still be on time with an ordinary machine rented later.
+            // Work that may use spot machines waits for them as long as it can still be on time
+            // with an ordinary machine rented later.
             let time_s = EXPECT_MARGIN * self.fleet.bias * spec.expect_s;
             let patient = |offer: &Offer| {
                 let ready_s = offer.flavor.ready_s;
-                job.due.is_some_and(|due| now + ready_s + time_s < due)
+                spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
             // What will have its turn in time on the machines there are, or sooner than a new one is
             // up, needs no others. Who has waited for longer than that was not told the truth: others
@@ -308,7 +308,7 @@
             let served = |ahead: f64| {
                 let turn_s = margin * ahead / freed.max(1e-6);
                 let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
-                let soon = unplaced.age_s + turn_s <= ready_s;
+                let soon = turn_s <= ready_s;
                 freed > 0.0 && !job.standing() && (on_time || soon)
             };
             // Bins that have no room for one task have none for the next.
@@ -466,15 +466,11 @@
     zones: &HashMap<String, u32>,
     patient: impl Fn(&Offer) -> bool,
 ) -> Option<usize> {
-    let spot_left = offers.iter().any(|offer| {
-        let key = &offer.key;
-        key.spot && !offer.blocked && offer.left > 0 && spec.allows(&key.flavor, &key.zone, true)
-    });
     let suits = |offer: &Offer| {
         let zone = &offer.key.zone;
         let other = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
         spec.allows(&offer.key.flavor, zone, offer.key.spot)
-            && (offer.key.spot || !spot_left || !patient(offer))
+            && (offer.key.spot || !patient(offer))
             && !other
             && zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
     };
--- a/src/coordination/outbox.rs
+++ b/src/coordination/outbox.rs
@@ -6,7 +6,7 @@
 use crate::protocol::state::StoreCall;
 use crate::protocol::worker::WorkerCall;
 use crate::protocol::{cbor, job};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Names an action that will be answered.
 pub type Tag = u64;
@@ -124,8 +124,13 @@
     store: HashMap<Tag, (StoreAsk, f64)>,
     cloud: HashMap<Tag, CloudAsk>,
     worker: HashMap<Tag, WorkerAsk>,
+    /// Refusals since the last log of them, by status and reason.
+    refused: BTreeMap<(u16, String), u32>,
 }
 
+/// Reasons told apart between two logs; those of malformed requests are many.
+const MAX_REASONS: usize = 16;
+
 impl Outbox {
     fn tag(&mut self) -> Tag {
         self.next += 1;
@@ -198,8 +203,20 @@
         self.answer(to, status, &accepted);
     }
 
+    /// Logs what was refused since the last time.
+    pub fn log_refused(&mut self) {
+        for ((status, reason), count) in std::mem::take(&mut self.refused) {
+            tracing::info!(status, reason, count, "refused");
+        }
+    }
+
     /// Answers with a refusal; `retry_after_s` tells when to come back.
     pub fn refuse(&mut self, to: u64, status: u16, why: &str, retry_after_s: Option<u32>) {
+        let mut reason = (status, why.to_owned());
+        if self.refused.len() >= MAX_REASONS && !self.refused.contains_key(&reason) {
+            reason.1 = "others".to_owned();
+        }
+        *self.refused.entry(reason).or_default() += 1;
         let refusal = Refusal {
             error: why.to_owned(),
         };
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -26,6 +26,9 @@
     partial: Vec<Item>,
     listing_at: Option<u64>,
     in_flight: bool,
+    known: bool,
+    /// The last call had no usable answer.
+    failed: bool,
     retry_at: f64,
 }
 
@@ -44,13 +47,15 @@
             partial: Vec::new(),
             listing_at: None,
             in_flight: false,
+            known: false,
+            failed: false,
             retry_at: 0.0,
         }
     }
 
     /// Whether the content is known, though perhaps late.
     pub fn listed(&self) -> bool {
-        self.revision.is_some()
+        self.known
     }
 
     /// Makes the next call if it is time.
@@ -92,9 +97,11 @@
                 }
                 self.listing_at = None;
                 self.revision = Some(at);
+                self.known = true;
                 vec![News::Reset(std::mem::take(&mut self.partial), at)]
             }
             StoreReply::Events(events, revision) => {
+                self.failed = false;
                 self.revision = Some(revision.max(self.revision.unwrap_or(0)));
                 events
                     .into_iter()
@@ -108,7 +115,15 @@
                 self.revision = None;
                 Vec::new()
             }
-            _ => {
+            // A watch without a usable answer may have brought more than we take: once more, then the
+            // keys are read anew, in pages.
+            StoreReply::Silent if self.revision.is_some() && self.failed => {
+                self.failed = false;
+                self.revision = None;
+                Vec::new()
+            }
+            other => {
+                self.failed = matches!(other, StoreReply::Silent);
                 self.retry_at = now + self.patience_s / 4.0;
                 Vec::new()
             }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -50,6 +50,7 @@
                 lost: 0.03,
                 late: 0.03,
                 copies: 0.1,
+                ..Weather::default()
             };
             w.run(90.0);
             w.weather = Weather::default();
@@ -125,7 +126,7 @@
         world.weather = Weather {
             lost: 0.02,
             late: 0.02,
-            copies: 0.0,
+            ..Weather::default()
         };
         let shift = (seed % 10) as f64;
         world.crash((seed % 3) as usize, 14.0 + shift, 14.3 + shift * 0.7);
@@ -133,7 +134,7 @@
         if seed % 2 == 0 {
             world.outage(28.0 + shift, 36.0 + 2.0 * shift);
         }
-        for i in 0..5 {
+        for i in 0..5u32 {
             world.run(15.0 + 12.0 * f64::from(i) + shift);
             world.cut_machine((seed % 4) as usize + i as usize, 3.0 + 4.0 * f64::from(i));
             if i % 2 == 1 {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -423,3 +423,50 @@
         world.starts
     );
 }
+
+/// More than two thousand machines and fifteen thousand running tasks: what the scheduler, the
+/// autoscaler and the controllers' calls do is bounded by counts, and nothing is cut short silently.
+#[test]
+fn thousands_of_machines() {
+    const TASKS: u32 = 250;
+    let mut world = World::sized(1, 3, 600);
+    for n in 0..64 {
+        world.user(
+            n,
+            0.5 + 0.02 * f64::from(n),
+            (TASKS, 25.0, false, n % 2 == 0),
+            None,
+        );
+    }
+    for n in 64..124 {
+        world.user(n, 1.0, (16, 0.0, true, false), None);
+    }
+    world.run(20.0);
+    let rented = world.machines();
+    assert!(rented > 2_000, "{rented} machines for 17,000 tasks");
+    world.run(40.0);
+    let reports = world.counts.reports;
+    world.restart_leader(1.0);
+    world.run(50.0);
+    // All workers have come to the new leader, by two reports each at most.
+    assert!(
+        world.counts.reports - reports < 9 * world.machines() as u32,
+        "{} reports in ten seconds",
+        world.counts.reports - reports
+    );
+    assert_eq!(world.lost_sessions(), 0);
+    world.run(95.0);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.unfinished(), Vec::<&str>::new());
+    let counts = &world.counts;
+    let most = |of: &std::collections::BTreeMap<u64, u32>| of.values().copied().max().unwrap_or(0);
+    assert!(most(&counts.requests) <= 2 * 150, "{:?}", counts.requests);
+    assert!(most(&counts.changes) <= 2 * 60, "{:?}", counts.changes);
+    let changes: u32 = counts.changes.values().sum();
+    assert!(changes < world.starts / 8, "{changes} for {}", world.starts);
+    assert!(
+        counts.most_calls <= 121,
+        "{} direct calls at a time",
+        counts.most_calls
+    );
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -321,6 +321,9 @@
     /// Machines that each pool of the cloud has.
     pool: u32,
     pub counts: Counts,
+    kill_at: f64,
+    /// Direct calls of each life of a node that wait for their answers.
+    calls: BTreeMap<(usize, u64), BTreeSet<u64>>,
 }
 
 /// What the controllers have asked of others.
@@ -332,6 +335,8 @@
     pub changes: BTreeMap<u64, u32>,
     /// Direct calls to workers.
     pub worker_calls: u32,
+    /// The most direct calls of a node that waited for their answers at a time.
+    pub most_calls: usize,
     /// Reports of workers.
     pub reports: u32,
 }
@@ -404,6 +409,8 @@
             peers_refuse: 0.0,
             pool,
             counts: Counts::default(),
+            kill_at: 0.0,
+            calls: BTreeMap::new(),
         };
         for i in 0..nodes {
             world.at(0.0, What::Restart(i));
@@ -615,6 +622,7 @@
             }
             What::WorkerBack(i, life, tag, reply) => {
                 if self.lives[i] == life {
+                    self.calls.entry((i, life)).or_default().remove(&tag);
                     self.with(i, |node| node.worker_reply(tag, reply, now));
                 }
             }
@@ -715,6 +723,9 @@
                     let silent = What::WorkerBack(i, life, tag, WorkerReply::Silent);
                     self.after(within_s, silent);
                     self.counts.worker_calls += 1;
+                    let open = self.calls.entry((i, life)).or_default();
+                    open.insert(tag);
+                    self.counts.most_calls = self.counts.most_calls.max(open.len());
                     self.send(What::WorkerAt(i, life, tag, endpoint, call));
                 }
                 Action::Beat(_) if self.now < self.muted[i].max(self.alone[i]) => {}
@@ -1253,7 +1264,7 @@
             let elsewhere: Vec<&Worker> = self
                 .workers
                 .values()
-                .filter(|w| w.name != name && w.running().any(|(s, _)| s == step))
+                .filter(|w| w.name != name && w.runs(step))
                 .collect();
             if let Some(other) = elsewhere.first() {
                 self.broken.push(format!(
@@ -1261,19 +1272,22 @@
                     other.name
                 ));
             }
-            let in_zone = self
-                .workers
-                .values()
-                .filter(|w| w.zone == zone)
-                .flat_map(|w| w.running())
-                .filter(|(s, _)| s.split('/').next() == Some(job.as_str()))
-                .count() as u32;
-            if standing && in_zone >= limit {
+            let in_zone = |world: &World| {
+                let there = world.workers.values().filter(|w| w.zone == zone);
+                let tasks = there.flat_map(|w| w.running());
+                tasks
+                    .filter(|(s, _)| s.split('/').next() == Some(job.as_str()))
+                    .count() as u32
+            };
+            if standing && in_zone(self) >= limit {
                 self.broken
                     .push(format!("{now}: {step} is one too many in {zone}"));
             }
-            let all = self.workers.values().flat_map(|w| w.running()).count() as f64;
-            if self.pool <= 3 && 2.0 * (all + 1.0) > 40.0 {
+            let all = |world: &World| {
+                let tasks = world.workers.values().flat_map(|w| w.running());
+                tasks.count() as f64
+            };
+            if self.pool <= 3 && 2.0 * (all(self) + 1.0) > 40.0 {
                 self.broken
                     .push(format!("{now}: {step} is over the team's limit"));
             }
@@ -1297,6 +1311,11 @@
     /// Ends the sessions whose lease is over, and watches the cancelled.
     fn kill_expired(&mut self) {
         let now = self.now;
+        // Of thousands of machines, not at every event.
+        if now < self.kill_at {
+            return;
+        }
+        self.kill_at = now + 0.01;
         for worker in self.workers.values_mut() {
             if now > worker.lease_from + LEASE_S {
                 worker.tasks.clear();
@@ -1460,6 +1479,11 @@
 }
 
 impl Worker {
+    fn runs(&self, step: &str) -> bool {
+        let tasks = self.tasks.get(step).into_iter().flatten();
+        tasks.into_iter().any(|t| t.status != StepStatus::Exited)
+    }
+
     fn running(&self) -> impl Iterator<Item = (&str, &Task)> {
         self.tasks.iter().flat_map(|(step, tasks)| {
             tasks
