A hold-over ends in time for the tasks of jobs cancelled meanwhile

Cause (found by thinking through a zone cut off with its leader, shown by a test in the simulated world): the leader inside hears of no cancellation and renewed leases for three worker leases; with the lease on top that is far beyond cancel_s, a broken rule. An outage of the state service is bridged for that and a lease more. Machines of a zone that is cut off are kept for three leases as before, with a figure of their own.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -69,7 +69,7 @@
     /// A node that has just started; `seed` tells this life from others.
     pub fn new(settings: Rc<Settings>, policy: Rc<Policy>, seed: u64) -> Controller {
         let workers = &settings.deployment.workers;
-        let times = Times::new(workers.lease_s);
+        let times = Times::new(workers);
         let patience_s = workers.report_s / 2.0;
         let nodes = f64::from(settings.deployment.initial_size).max(1.0);
         let share = (1.0 - STATE_SHARE) / nodes;
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -4,9 +4,9 @@
 use crate::bookkeeping::records::{self, LeaderRecord};
 use crate::protocol::cbor;
 use crate::protocol::state::{Condition, StoreCall, StoreReply, Txn, Write};
-use crate::settings::DRIFT;
+use crate::settings::{DRIFT, Workers};
 
-/// Times of the election, all ratios of the workers' lease.
+/// Times of the election, all worked out from those of the workers.
 #[derive(Debug, Clone, Copy)]
 pub struct Times {
     /// Life of the leader's lease.
@@ -18,11 +18,19 @@
 }
 
 impl Times {
-    /// Times for a workers' lease.
-    pub fn new(lease_s: f64) -> Times {
+    /// Times for these figures of the workers.
+    ///
+    /// A leader that holds over may be cut off with its workers, and hears of no cancellation. The
+    /// tasks of a job that was cancelled right after the last renewal must be gone in time even so:
+    /// their workers' leases, renewed until the hold-over ends, must have run out by then.
+    pub fn new(workers: &Workers) -> Times {
+        let lease_s = workers.lease_s;
+        let life_s = (lease_s / 5.0).max(0.1);
+        let news_s = workers.report_s / 2.0;
+        let hold_over_s = workers.cancel_s - lease_s * (1.0 + 4.0 * DRIFT) - news_s;
         Times {
-            life_s: (lease_s / 5.0).max(0.1),
-            hold_over_s: lease_s * 3.0,
+            life_s,
+            hold_over_s: hold_over_s.max(life_s),
             quiet_s: lease_s,
         }
     }
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -150,6 +150,8 @@
 const ROUNDS_PER_BOOT: f64 = 5.0;
 /// Boots that take longer don't slow the rounds down.
 const MAX_READY_S: f64 = 60.0;
+/// Worker leases for which the machines of a zone that is cut off are kept.
+const CUT_LEASES: f64 = 3.0;
 /// Report intervals that workers take to come again: a report without answer, and another node.
 const BACK_REPORTS: f64 = 2.5;
 /// Report intervals without any report, from whatever worker, that are more than chance.
@@ -631,14 +633,14 @@
         let unreached = self.hosts.iter().filter(|h| h.unreached.is_some()).count();
         let cut_off = 2 * unheard > up || 2 * unreached > up || nobody;
         self.note_cut_zones(now);
-        // A zone that stays away for longer than an outage that is bridged is given up. Once it is
-        // back, all its workers get the time to come again.
+        // A zone that stays away for long is given up: its machines cost more by then than their boots.
+        // Once it is back, all its workers get the time to come again.
         let waits = |host: &Host| {
             !host.spot
                 && self.fleet.was_cut(&host.zone)
                 && self
                     .quiet_since(host)
-                    .is_some_and(|since| now - since < self.hold_over_s)
+                    .is_some_and(|since| now - since < CUT_LEASES * lease_s)
         };
         let mut back = Vec::new();
         for host in self.hosts.iter().filter(|host| !host.returning) {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -88,7 +88,6 @@
     unplaced: Vec<scheduler::Unplaced>,
     fleet: Fleet,
     notices: Vec<Notice>,
-    hold_over_s: f64,
     /// No leader before this one has written anything: there is no machine of ours.
     first: bool,
     /// Until then an earlier leader may have renewed leases.
@@ -145,7 +144,6 @@
             unplaced: Vec::new(),
             fleet: Fleet::new(&settings, epoch, now),
             notices: Vec::new(),
-            hold_over_s,
             first: false,
             others_until: if settings.seeds.is_empty() {
                 now
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -4,8 +4,19 @@
 use cedarladder::coordination::election::{Election, Outcome, Times};
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
 use cedarladder::protocol::state::{StoreCall, StoreReply};
+use cedarladder::settings::Workers;
 
 const LEASE_S: f64 = 10.0;
+/// What is left of `CANCEL_S` after a lease and half a report interval, by the slower of two clocks.
+const HOLD_OVER_S: f64 = 18.98;
+
+fn workers() -> Workers {
+    Workers {
+        report_s: 2.0,
+        lease_s: LEASE_S,
+        cancel_s: 30.0,
+    }
+}
 
 struct Bed {
     election: Election,
@@ -15,7 +26,7 @@
 impl Bed {
     fn new() -> Bed {
         Bed {
-            election: Election::new("n0", 1, Times::new(LEASE_S)),
+            election: Election::new("n0", 1, Times::new(&workers())),
             out: Outbox::default(),
         }
     }
@@ -136,13 +147,13 @@
         ),
         (
             "no renewal until the hold-over ends",
-            |b| b.election.drive(true, &mut b.out, 3.0 * LEASE_S - 0.1),
+            |b| b.election.drive(true, &mut b.out, HOLD_OVER_S - 0.1),
             Outcome::Same,
             true,
         ),
         (
             "no renewal beyond the hold-over",
-            |b| b.election.drive(true, &mut b.out, 3.0 * LEASE_S + 0.1),
+            |b| b.election.drive(true, &mut b.out, HOLD_OVER_S + 0.1),
             Outcome::Lost,
             false,
         ),
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -53,12 +53,12 @@
             "a leader is alone until just before its hold-over ends",
             |w| {
                 w.run(25.0);
-                w.isolate_leader(29.0);
+                w.isolate_leader(18.5);
             },
         ),
         ("a leader is alone until just after its hold-over", |w| {
             w.run(25.0);
-            w.isolate_leader(31.0);
+            w.isolate_leader(19.5);
         }),
         ("a leader is alone and copies come late", |w| {
             w.weather.copies = 0.3;
@@ -224,6 +224,29 @@
     }
 }
 
+/// A leader that is cut off with a zone hears of no cancellation, and goes on renewing its workers'
+/// leases for a while only: tasks of jobs cancelled meanwhile are gone in time.
+#[test]
+fn cancelled_while_cut_off() {
+    for nodes in [3, 5] {
+        let mut world = World::sized(7, nodes, 12);
+        for n in 0..10 {
+            let cancel = Some(40.2 + 0.4 * f64::from(n));
+            world.user(n, 0.5, (8, 0.0, true, false), cancel);
+        }
+        world.run(40.0);
+        assert!(world.cut_zone("b", true, 0, 60.0));
+        world.run(60.0);
+        let told = world.users.iter().filter(|u| u.told_cancelled.is_some());
+        assert!(
+            told.count() >= 8,
+            "most are told so while the zone is cut off"
+        );
+        world.run(200.0);
+        check(&world, &format!("{nodes} controllers"));
+    }
+}
+
 /// After a standstill nobody counts as silent for the time in which the node did not listen.
 #[test]
 fn a_standstill_gives_back_nothing() {
