Looks before comparisons at the desk; peers are told of jobs that have ended

Its comparisons for polls took every request of its share as soon as it came back, so looks at jobs that had ended never got the two that they need: 24,600 polls timed out, tickets filled the desk, and submissions were refused with 429. Ruled out: processor time and sockets, which reach their limits only for moments. Now looks go first, comparisons take half of the share at most, a poll is given up when its user has, and nodes tell one another in their regular word which jobs have ended by their doing. Test: tests/overload.rs, ended_jobs_beside_many_polls.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -388,6 +388,7 @@
         }
         let outcome = self.election.notice(beat.epoch);
         self.follow_outcome(outcome, now.steady);
+        self.desk.note_ended(&beat.ended);
         match &mut self.leader {
             Some(leader) if beat.epoch >= leader.epoch() => {
                 leader.informed(&beat.label, now.steady);
@@ -540,7 +541,7 @@
         for notice in leader.take_notices() {
             let outcome = match notice {
                 Notice::Over(id, record) => {
-                    self.desk.note_over(&id, record);
+                    self.desk.announce_over(&id, record);
                     Outcome::Same
                 }
                 Notice::Epoch(epoch) => self.election.notice(epoch),
@@ -600,6 +601,7 @@
                 .is_some_and(|at| now - at < self.report_s()),
             knocks: self.knocks.len() as u32,
             counts,
+            ended: self.desk.take_news(),
         };
         self.out.actions.push(Action::Beat(beat));
     }
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -9,7 +9,7 @@
 use crate::bookkeeping::records::{self, Ending, OverRecord};
 use crate::protocol::cbor;
 use crate::protocol::job::{JobSpec, JobStatus, JobView};
-use crate::protocol::peer::Counts;
+use crate::protocol::peer::{Counts, Ended, MAX_ENDED};
 use crate::protocol::state::{CONDITIONS_PER_OP, Condition, StoreCall, StoreReply, Txn, Write};
 use crate::settings::StateLimits;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -109,6 +109,10 @@
 const FINALS: usize = 20_000;
 /// Tickets that may wait; more are refused at once.
 const MAX_WAITING: usize = 2_000;
+/// Share of a node's requests for comparisons, which answer many polls each; the rest is for looks.
+const CHECK_SHARE: f64 = 0.5;
+/// Users wait so long for the answer to a poll; an answer that comes later is of no use to them.
+const POLL_PATIENCE_S: f64 = 2.0;
 /// Jobs looked up at a time.
 const MAX_LOOKS: usize = 8;
 
@@ -119,6 +123,8 @@
     pub open: OpenJobs,
     finals: HashMap<String, OverRecord>,
     finals_order: VecDeque<String>,
+    /// Jobs that have ended by this node's doing, for its next word to the peers.
+    news: Vec<Ended>,
     /// Display counts, from the leader.
     pub counts: HashMap<String, (u32, u32)>,
     polls: VecDeque<Ticket>,
@@ -132,6 +138,9 @@
     changes: Bucket,
     limits: StateLimits,
     patience_s: f64,
+    /// No comparison for polls before this time, and how long they are apart.
+    check_at: f64,
+    check_every_s: f64,
     /// The state service refused us at this time; requests are then refused at once.
     refused_at: Option<f64>,
 }
@@ -147,6 +156,7 @@
             open: BTreeMap::new(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
+            news: Vec::new(),
             counts: HashMap::new(),
             polls: VecDeque::new(),
             writes: VecDeque::new(),
@@ -159,6 +169,8 @@
             changes: rate(limits.write_rps),
             limits: limits.clone(),
             patience_s,
+            check_at: 0.0,
+            check_every_s: 1.0 / (CHECK_SHARE * share * limits.rps),
             refused_at: None,
         }
     }
@@ -190,6 +202,36 @@
         }
     }
 
+    /// Notes how a job ended by this node's doing, which is written down.
+    pub fn announce_over(&mut self, id: &str, record: OverRecord) {
+        if self.news.len() < MAX_ENDED {
+            self.news.push(Ended {
+                job: id.to_owned(),
+                aborted: record.ending == Ending::Aborted,
+                done: record.done,
+            });
+        }
+        self.note_over(id, record);
+    }
+
+    /// What the peers have not been told yet.
+    pub fn take_news(&mut self) -> Vec<Ended> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes a peer's word of jobs that have ended; ends are for ever.
+    pub fn note_ended(&mut self, ended: &[Ended]) {
+        for e in ended {
+            let ending = if e.aborted {
+                Ending::Aborted
+            } else {
+                Ending::Done
+            };
+            let done = e.done;
+            self.note_over(&e.job, OverRecord { ending, done });
+        }
+    }
+
     /// Takes the leader's display counts.
     pub fn note_counts(&mut self, counts: &[Counts]) {
         for c in counts {
@@ -266,11 +308,15 @@
             );
             return;
         }
+        let patience_s = match wish {
+            Wish::Poll => POLL_PATIENCE_S.min(1.5 * self.patience_s),
+            _ => 1.5 * self.patience_s,
+        };
         let ticket = Ticket {
             request,
             id: id.to_owned(),
             wish,
-            until: now + 1.5 * self.patience_s,
+            until: now + patience_s,
             compared_open: false,
         };
         match ticket.wish {
@@ -310,8 +356,8 @@
     /// Makes the calls that are due.
     pub fn drive(&mut self, out: &mut Outbox, now: f64) {
         self.expire(out, now);
-        self.drive_polls(out, now);
-        self.drive_writes(out, now);
+        // Looks go first: comparisons take as many polls as there are, and can wait for company. The
+        // other way round, a node that many users ask would never come to look.
         while self.looking < MAX_LOOKS && !self.look_queue.is_empty() {
             if !self.requests.take(2.0, now) {
                 break;
@@ -322,6 +368,8 @@
             self.looking += 1;
             self.look_at(&id, Stage::Open, out, now);
         }
+        self.drive_polls(out, now);
+        self.drive_writes(out, now);
     }
 
     fn expire(&mut self, out: &mut Outbox, now: f64) {
@@ -340,11 +388,13 @@
 
     fn drive_polls(&mut self, out: &mut Outbox, now: f64) {
         if self.polls.is_empty()
+            || now < self.check_at
             || !self.checking.may_call(self.patience_s, now)
             || !self.requests.take(1.0, now)
         {
             return;
         }
+        self.check_at = now + self.check_every_s;
         let most = CONDITIONS_PER_OP * self.limits.txn_ops / 2;
         let count = self.polls.len().min(most);
         let mut batch: Vec<Ticket> = self.polls.drain(..count).collect();
@@ -523,7 +573,7 @@
                             done,
                         };
                         tracing::debug!(job = ticket.id, "cancelled");
-                        self.note_over(&ticket.id, record);
+                        self.announce_over(&ticket.id, record);
                         out.answer_state(ticket.request, 200, &ticket.id, JobStatus::Aborted);
                     }
                 },
--- a/src/coordination/outbox.rs
+++ b/src/coordination/outbox.rs
@@ -212,11 +212,14 @@
 
     /// Answers with a refusal; `retry_after_s` tells when to come back.
     pub fn refuse(&mut self, to: u64, status: u16, why: &str, retry_after_s: Option<u32>) {
-        let mut reason = (status, why.to_owned());
-        if self.refused.len() >= MAX_REASONS && !self.refused.contains_key(&reason) {
-            reason.1 = "others".to_owned();
+        // That there is no such job is an answer like others.
+        if status != 404 {
+            let mut reason = (status, why.to_owned());
+            if self.refused.len() >= MAX_REASONS && !self.refused.contains_key(&reason) {
+                reason.1 = "others".to_owned();
+            }
+            *self.refused.entry(reason).or_default() += 1;
         }
-        *self.refused.entry(reason).or_default() += 1;
         let refusal = Refusal {
             error: why.to_owned(),
         };
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -7,6 +7,9 @@
 /// The most jobs whose counts fit into one message.
 pub const MAX_COUNTS: usize = 2000;
 
+/// The most ends of jobs that fit into one message; others are looked up when somebody asks.
+pub const MAX_ENDED: usize = 1000;
+
 /// Display counts of one job.
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
 pub struct Counts {
@@ -18,6 +21,17 @@
     pub running: u32,
 }
 
+/// How a job has ended, for ever.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Ended {
+    /// Job id.
+    pub job: String,
+    /// Cancelled, rather than done.
+    pub aborted: bool,
+    /// Completed tasks.
+    pub done: u32,
+}
+
 /// A node's regular word to its peers.
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
 pub struct Beat {
@@ -33,6 +47,8 @@
     pub knocks: u32,
     /// From the leader: display counts of the open jobs.
     pub counts: Vec<Counts>,
+    /// Jobs that have ended by this node's doing since its last word: peers need not look them up.
+    pub ended: Vec<Ended>,
 }
 
 /// Encodes a message, without its frame.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -5,7 +5,9 @@
 use cedarladder::bookkeeping::records::{Ending, OverRecord};
 use cedarladder::coordination::desk::Desk;
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
-use cedarladder::protocol::state::{StoreCall, StoreReply};
+use cedarladder::protocol::cbor;
+use cedarladder::protocol::peer::Ended;
+use cedarladder::protocol::state::{Item, StoreCall, StoreReply};
 use cedarladder::settings::StateLimits;
 use cedarladder::transport::server::{After, Server};
 use common::spec;
@@ -102,6 +104,108 @@
     }
 }
 
+/// A node that all users ask answers for jobs that have ended too: looks are not starved by the
+/// comparisons for those that are open. What a peer has told needs no look.
+#[test]
+fn ended_jobs_beside_many_polls() {
+    let limits = StateLimits {
+        rps: 300.0,
+        write_rps: 100.0,
+        value_kb: 8.0,
+        txn_ops: 40,
+    };
+    for told in [false, true] {
+        let mut desk = Desk::new(&limits, 0.1, 2.5);
+        let mut out = Outbox::default();
+        for i in 0..600 {
+            desk.note_open(1, spec(&format!("j-{i}"), 5));
+        }
+        let over = |id: &str| id[2..].parse::<u32>().expect("a number") >= 600;
+        let mut asked: BTreeMap<u64, (f64, bool)> = BTreeMap::new();
+        let mut back: std::collections::VecDeque<(f64, u64, StoreCall)> = Default::default();
+        let (mut next, mut looks, mut ended) = (0u64, 0, 600);
+        for step in 0..1_200u32 {
+            let now = f64::from(step) * 0.01;
+            if step < 1_000 {
+                // Some 150 polls a second for open jobs, and three for ended ones, new ones each time.
+                let mut ids = vec![format!("j-{}", (next * 7) % 600)];
+                if step % 2 == 0 {
+                    ids.push(format!("j-{}", (next * 11) % 600));
+                }
+                if step % 33 == 0 {
+                    ids.push(format!("j-{ended}"));
+                    if told {
+                        desk.note_ended(&[Ended {
+                            job: format!("j-{ended}"),
+                            aborted: false,
+                            done: 5,
+                        }]);
+                    }
+                    ended += 1;
+                }
+                for id in ids {
+                    next += 1;
+                    asked.insert(next, (now, over(&id)));
+                    desk.poll(next, &id, &mut out, now);
+                }
+            }
+            while back.front().is_some_and(|(at, ..)| *at <= now) {
+                let (_, tag, call) = back.pop_front().expect("a call");
+                let (ask, _) = out.store_ask(tag).expect("a call");
+                match (ask, call) {
+                    (StoreAsk::Check(check), StoreCall::Txn(txn)) => {
+                        let failed: Vec<String> = txn
+                            .when
+                            .iter()
+                            .filter(|c| c.key.strip_prefix("over/").is_some_and(over))
+                            .map(|c| c.key.clone())
+                            .collect();
+                        let reply = if failed.is_empty() {
+                            StoreReply::Committed(9)
+                        } else {
+                            StoreReply::Conflict(failed)
+                        };
+                        desk.checked(check, reply, &mut out, now);
+                    }
+                    (StoreAsk::Look(id), StoreCall::Get(key)) => {
+                        looks += 1;
+                        let reply = if key.starts_with("over/") {
+                            let record = OverRecord {
+                                ending: Ending::Done,
+                                done: 5,
+                            };
+                            StoreReply::Found(Item {
+                                value: cbor::to_value(&record),
+                                key,
+                                stamp: 2,
+                                hold: None,
+                            })
+                        } else {
+                            StoreReply::Missing
+                        };
+                        desk.looked(&id, reply, &mut out, now);
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+            desk.drive(&mut out, now);
+            for action in std::mem::take(&mut out.actions) {
+                match action {
+                    Action::Answer { to, status, .. } => {
+                        let (since, over) = asked.remove(&to).expect("asked once");
+                        assert_eq!(status, 200, "over: {over}, at {now}");
+                        assert!(now - since < 1.0, "{} s, over: {over}", now - since);
+                    }
+                    Action::Store { tag, call, .. } => back.push_back((now + 0.02, tag, call)),
+                    other => panic!("{other:?}"),
+                }
+            }
+        }
+        assert!(asked.is_empty(), "{} without answer", asked.len());
+        assert_eq!(looks == 0, told, "{looks} looks");
+    }
+}
+
 /// Final states are kept in memory up to a bound; older ones are looked up again.
 #[test]
 fn final_states_are_bounded() {
