Replicas moved together, so that sparse machines can be given back

Now one machine of a zone and round whose replicas take half of it at most is emptied, if they find room elsewhere beside the headroom.

--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -155,6 +155,8 @@
     pub endpoint: String,
     /// Nothing may be placed here any more.
     pub returning: bool,
+    /// Its replicas are being moved elsewhere; nothing is placed here until it is empty.
+    pub draining: bool,
     /// Marked in the state service as returning, so that the delete may be sent.
     pub marked: bool,
     /// Latest session seen; 0: no report so far.
@@ -210,6 +212,7 @@
             spot,
             endpoint: String::new(),
             returning: false,
+            draining: false,
             marked: false,
             tenure: 0,
             tick: 0,
@@ -250,6 +253,7 @@
     pub fn usable(&self) -> bool {
         self.acked
             && !self.returning
+            && !self.draining
             && self.unreached.is_none()
             && self.taken_at.is_none()
             && self.heard.is_some()
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod load;
+mod packing;
 mod reports;
 mod scaling;
 mod writes;
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -101,6 +101,24 @@
         for name in back {
             self.give_back(&name);
         }
+        let calm = self.unplaced.iter().all(|unplaced| {
+            let job = self.jobs.get(&unplaced.job);
+            job.is_none_or(|job| !job.standing())
+        });
+        let lease_s = self.settings.deployment.workers.lease_s;
+        if calm && now - self.since > lease_s {
+            let settings = self.settings.clone();
+            for zone in &settings.deployment.zones {
+                let in_zone = |i: &usize| !offers[*i].key.spot && offers[*i].key.zone == *zone;
+                let shares = (0..offers.len()).filter(in_zone).map(|i| figures[i].headroom);
+                let share = shares.fold(0.0, f64::max);
+                if let Some((count, need)) = self.usual_replica(zone)
+                    && !self.fleet.was_cut(zone)
+                {
+                    self.pack(zone, (share * count).ceil() as u32, &need);
+                }
+            }
+        }
     }
 
     /// All pools, the cheap ones first.
