--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -110,7 +110,9 @@
             let settings = self.settings.clone();
             for zone in &settings.deployment.zones {
                 let in_zone = |i: &usize| !offers[*i].key.spot && offers[*i].key.zone == *zone;
-                let shares = (0..offers.len()).filter(in_zone).map(|i| figures[i].headroom);
+                let shares = (0..offers.len())
+                    .filter(in_zone)
+                    .map(|i| figures[i].headroom);
                 let share = shares.fold(0.0, f64::max);
                 if let Some((count, need)) = self.usual_replica(zone)
                     && !self.fleet.was_cut(zone)
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -423,6 +423,27 @@
     }
 }
 
+/// Replicas that are left on half empty machines are moved together, and the machines given back.
+#[test]
+fn replicas_are_moved_together() {
+    let mut world = World::sized(6, 3, 20);
+    for n in 0..24 {
+        // Every second one is cancelled, which leaves gaps everywhere.
+        let cancel = (n % 2 == 1).then_some(45.0);
+        world.user(n, 0.5 + 0.3 * f64::from(n), (4, 0.0, true, false), cancel);
+    }
+    world.run(44.0);
+    let before = world.machines();
+    world.run(110.0);
+    let after = world.machines();
+    // 48 replicas fill twelve machines; a little room is kept in both zones.
+    assert!(
+        before >= 24 && after <= 16,
+        "{before}, then {after} machines"
+    );
+    check(&world, "moved together");
+}
+
 /// Hundreds of machines: what the controllers ask of the state service and of workers is bounded
 /// by counts, and all is done.
 #[test]
