--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,6 +6,7 @@
 mod packing;
 mod reports;
 mod scaling;
+mod silence;
 mod writes;
 
 use super::outbox::Outbox;
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -101,28 +101,38 @@
         for name in back {
             self.give_back(&name);
         }
-        let calm = self.unplaced.iter().all(|unplaced| {
+        self.pack_zones(&offers, &figures, now);
+    }
+
+    /// Moves replicas together in each zone, while none waits.
+    fn pack_zones(&mut self, offers: &[Offer], figures: &[Figures], now: f64) {
+        let replicas_wait = self.unplaced.iter().any(|unplaced| {
             let job = self.jobs.get(&unplaced.job);
-            job.is_none_or(|job| !job.standing())
+            job.is_some_and(|job| job.standing())
         });
-        let lease_s = self.settings.deployment.workers.lease_s;
-        if calm && now - self.since > lease_s {
-            let settings = self.settings.clone();
-            for zone in &settings.deployment.zones {
-                let in_zone = |i: &usize| !offers[*i].key.spot && offers[*i].key.zone == *zone;
-                let shares = (0..offers.len())
-                    .filter(in_zone)
-                    .map(|i| figures[i].headroom);
-                let share = shares.fold(0.0, f64::max);
-                if let Some((count, need)) = self.usual_replica(zone)
-                    && !self.fleet.was_cut(zone)
-                {
-                    self.pack(zone, (share * count).ceil() as u32, &need);
-                }
+        // A new leader first hears from everybody.
+        let settings = self.settings.clone();
+        if replicas_wait || now - self.since < settings.deployment.workers.lease_s {
+            return;
+        }
+        for zone in &settings.deployment.zones {
+            if let Some((keep, need)) = self.headroom(offers, figures, zone)
+                && !self.fleet.was_cut(zone)
+            {
+                self.pack(zone, keep, &need);
             }
         }
     }
 
+    /// For how many replicas to come room is kept in a zone, and what one takes on average.
+    fn headroom(&self, offers: &[Offer], figures: &[Figures], zone: &str) -> Option<(u32, Room)> {
+        let here = |offer: &Offer| !offer.key.spot && offer.key.zone == zone;
+        let shares = offers.iter().zip(figures).filter(|(offer, _)| here(offer));
+        let share = shares.map(|(_, f)| f.headroom).fold(0.0, f64::max);
+        let (count, need) = self.usual_replica(zone)?;
+        Some(((share * count).ceil() as u32, need))
+    }
+
     /// All pools, the cheap ones first.
     fn offers<'a>(&self, flavors: &'a [Flavor], now: f64) -> Vec<Offer<'a>> {
         let mut offers: Vec<Offer> = flavors
@@ -217,14 +227,9 @@
             let here: Vec<usize> = (0..offers.len())
                 .filter(|i| !offers[*i].key.spot && offers[*i].key.zone == *zone)
                 .collect();
-            let share = here
-                .iter()
-                .map(|i| figures[*i].headroom)
-                .fold(0.0, f64::max);
-            let Some((count, need)) = self.usual_replica(zone) else {
+            let Some((mut missing, need)) = self.headroom(offers, figures, zone) else {
                 continue;
             };
-            let mut missing = (share * count).ceil() as u32;
             for host in self.hosts.iter() {
                 let in_use = host.usable() && !host.spot && !host.bindings.is_empty();
                 let offer = offers.iter().find(|offer| is_in(host, &offer.key));
--- /dev/null
+++ b/src/coordination/leader/silence.rs
@@ -0,0 +1,157 @@
+//! Machines that are of no use: silent, faulty, taken, or never up; and zones that are cut off.
+
+use super::Leader;
+use crate::bookkeeping::hosts::Host;
+use crate::coordination::scheduler::MAX_ERRORS;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Usual boot times after which a machine that is not up is given back.
+const BOOT_PATIENCE: f64 = 2.5;
+/// Report intervals without a report that are more than chance.
+const MISSED_REPORTS: f64 = 1.5;
+/// Report intervals without any report, from whatever worker, that are more than chance.
+const QUIET_REPORTS: f64 = 1.25;
+/// Machines that may fall silent together by chance.
+const FEW: usize = 6;
+/// Report intervals after which a report is late. They come with a quarter more at most, so that
+/// even if all machines report at the same moment three in ten are late at most.
+const LATE_REPORTS: f64 = 1.1;
+/// Share of a zone's machines that are late, from which the zone is taken to be cut off.
+const LATE_SHARE: f64 = 0.35;
+/// Worker leases for which the machines of a zone that is cut off are kept.
+const CUT_LEASES: f64 = 3.0;
+/// Report intervals that workers take to come again: a report without answer, and another node.
+const BACK_REPORTS: f64 = 2.5;
+
+impl Leader {
+    /// Since when a machine that should report has not; `None`: it may still be booting.
+    fn quiet_since(&self, host: &Host) -> Option<f64> {
+        // Who has tasks and was never heard had them under an earlier leader.
+        let inherited = (!host.bindings.is_empty()).then_some(self.since);
+        Some(host.heard.or(inherited)?.max(self.awake_since))
+    }
+
+    /// Whether a machine has missed its latest reports and leaves direct calls unanswered, or has
+    /// been quiet for so long that this is not needed.
+    fn silent(&self, host: &Host, now: f64) -> bool {
+        let workers = &self.settings.deployment.workers;
+        self.quiet_since(host).is_some_and(|since| {
+            let quiet_s = now - since;
+            let asked = host.unreached.is_some_and(|at| at >= since);
+            let long_s = match host.heard {
+                Some(_) => workers.lease_s / 2.0,
+                None => workers.lease_s,
+            };
+            quiet_s > long_s || (asked && quiet_s > MISSED_REPORTS * workers.report_s)
+        })
+    }
+
+    /// Zones of which so many machines are late with their reports at once that they are cut off, not
+    /// so many dead machines. What runs there may go on, and comes back with the zone; a deletion
+    /// would only add a boot. This shows before the first of them counts as silent.
+    fn cut_zones(&self, now: f64) -> BTreeSet<String> {
+        let late_s = LATE_REPORTS * self.settings.deployment.workers.report_s;
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for host in self.hosts.iter().filter(|host| !host.returning) {
+            if let Some(since) = self.quiet_since(host) {
+                let (there, late) = zones.entry(&host.zone).or_default();
+                *there += 1;
+                *late += usize::from(now - since > late_s);
+            }
+        }
+        zones
+            .into_iter()
+            .filter(|(_, (there, late))| {
+                *there >= FEW && *late as f64 >= LATE_SHARE * *there as f64
+            })
+            .map(|(zone, _)| zone.to_owned())
+            .collect()
+    }
+
+    fn note_cut_zones(&mut self, now: f64) {
+        for zone in self.cut_zones(now) {
+            if self.fleet.cut_zones.insert(zone.clone(), now).is_none() {
+                tracing::info!(zone, "zone cut off");
+            }
+        }
+        let over_s = BACK_REPORTS * self.fleet.report_s;
+        self.fleet.cut_zones.retain(|zone, at| {
+            let cut = now - *at < over_s;
+            if !cut {
+                tracing::info!(zone, "zone is back");
+            }
+            cut
+        });
+    }
+
+    /// Gives back machines that are of no use: silent, faulty, taken, or never up.
+    pub(super) fn retire(&mut self, now: f64) {
+        let lease_s = self.settings.deployment.workers.lease_s;
+        let up = self.hosts.iter().filter(|h| h.heard.is_some()).count();
+        // When most have missed their latest reports it is this node that is cut off. Counting only
+        // those past the longer limit would give back the first few that pass it.
+        let missed_s = MISSED_REPORTS * self.fleet.report_s;
+        let unheard = self
+            .hosts
+            .iter()
+            .filter(|host| host.heard.is_some_and(|at| now - at > missed_s))
+            .count();
+        // So it may be when nobody at all is heard; should this last, the lead is given up.
+        let quiet_s = self.last_report.map_or(0.0, |at| now - at);
+        let nobody = quiet_s > QUIET_REPORTS * self.fleet.report_s && quiet_s < lease_s;
+        let unreached = self.hosts.iter().filter(|h| h.unreached.is_some()).count();
+        let cut_off = 2 * unheard > up || 2 * unreached > up || nobody;
+        self.note_cut_zones(now);
+        // A zone that stays away for long is given up: its machines cost more by then than their boots.
+        // Once it is back, all its workers get the time to come again.
+        let waits = |host: &Host| {
+            !host.spot
+                && self.fleet.was_cut(&host.zone)
+                && self
+                    .quiet_since(host)
+                    .is_some_and(|since| now - since < CUT_LEASES * lease_s)
+        };
+        let mut back = Vec::new();
+        for host in self.hosts.iter().filter(|host| !host.returning) {
+            let ready_s = self
+                .flavors
+                .iter()
+                .find(|f| f.name == host.flavor)
+                .map_or(self.fleet.report_s, |f| f.ready_s);
+            let lost_s = 4.0 * self.fleet.list_lag_s + ready_s;
+            let taken = host
+                .taken_at
+                .is_some_and(|at| now > at + self.fleet.report_s || host.bindings.is_empty());
+            let never_up = host.heard.is_none()
+                && host.bindings.is_empty()
+                && now - host.since > BOOT_PATIENCE * ready_s
+                && (!host.listed_up || now - self.since > lease_s);
+            let reason = if taken {
+                "taken by the cloud"
+            } else if never_up {
+                "never came up"
+            } else if self.silent(host, now) && !cut_off && !waits(host) {
+                "silent"
+            } else if host.unreached.is_some_and(|at| now - at > lease_s)
+                && !cut_off
+                && !waits(host)
+            {
+                "can't be reached"
+            } else if host.errors >= MAX_ERRORS {
+                "fails tasks"
+            } else if host.heard.is_none()
+                && host.listed.is_some_and(|at| now - at > lost_s)
+                && host.bindings.is_empty()
+            {
+                "no longer listed"
+            } else {
+                continue;
+            };
+            back.push((host.name.clone(), reason));
+        }
+        for (name, reason) in back {
+            tracing::info!(host = name, reason, "giving back a machine");
+            self.give_back(&name);
+        }
+    }
+}
