--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -361,6 +361,9 @@
                 pool.share += need.share_of(&Room::of_flavor(offer.flavor));
             }
         }
+        if left == 0 {
+            tracing::info!(fitted = MAX_FITTED, "more tasks wait than a round looks at");
+        }
     }
 
     /// CPUs that the tasks of arrays give back each second by ending, and how many tasks these are.
