--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -300,12 +300,7 @@
             .refused_at
             .is_some_and(|at| now - at < self.patience_s / 2.0)
         {
-            out.refuse(
-                request,
-                503,
-                "the state service is out",
-                Some(RETRY_AFTER_S),
-            );
+            refuse_out(request, out);
             return;
         }
         let patience_s = match wish {
@@ -382,7 +377,7 @@
             }
         }
         for request in dropped {
-            out.refuse(request, 503, "no decision in time", Some(RETRY_AFTER_S));
+            refuse_late(request, out);
         }
     }
 
@@ -501,12 +496,7 @@
                     }
                 }
                 StoreReply::Busy => self.polls.push_back(ticket),
-                _ => out.refuse(
-                    ticket.request,
-                    503,
-                    "the state service is out",
-                    Some(RETRY_AFTER_S),
-                ),
+                _ => refuse_out(ticket.request, out),
             }
         }
         self.drive(out, now);
@@ -587,12 +577,7 @@
                 StoreReply::Busy => self.writes.push_back(ticket),
                 // It may have been applied: look, and answer by what is there.
                 StoreReply::Silent => self.look(ticket),
-                _ => out.refuse(
-                    ticket.request,
-                    503,
-                    "the state service is out",
-                    Some(RETRY_AFTER_S),
-                ),
+                _ => refuse_out(ticket.request, out),
             }
         }
         self.drive(out, now);
@@ -645,7 +630,7 @@
     fn resolve(&mut self, ticket: Ticket, fate: Option<&Fate>, out: &mut Outbox, now: f64) {
         let request = ticket.request;
         if fate.is_none() || (now >= ticket.until && !matches!(fate, Some(Fate::Over(_)))) {
-            out.refuse(request, 503, "no decision in time", Some(RETRY_AFTER_S));
+            refuse_late(request, out);
             return;
         }
         match (fate, &ticket.wish) {
@@ -672,6 +657,16 @@
     }
 }
 
+fn refuse_out(request: u64, out: &mut Outbox) {
+    let why = "the state service is out";
+    out.refuse(request, 503, why, Some(RETRY_AFTER_S));
+}
+
+fn refuse_late(request: u64, out: &mut Outbox) {
+    let why = "no decision in time";
+    out.refuse(request, 503, why, Some(RETRY_AFTER_S));
+}
+
 fn over_status(record: &OverRecord) -> JobStatus {
     match record.ending {
         Ending::Done => JobStatus::Done,
