--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -525,3 +525,37 @@
         counts.most_calls
     );
 }
+
+/// Many machines are lost at once, by each kind of end, while the leader is restarted: replicas are
+/// back within half a minute, and what hung for a moment finds its work still its own.
+#[test]
+fn mass_loss() {
+    for nodes in [3, 5] {
+        let name = format!("{nodes} controllers");
+        let mut world = World::sized(8, nodes, 150);
+        for n in 0..60 {
+            world.user(n, 0.5, (16, 0.0, true, false), None);
+        }
+        for n in 60..80 {
+            world.user(n, 10.0 + f64::from(n - 60), (60, 8.0, false, true), None);
+        }
+        world.run(40.0);
+        assert!(world.machines() > 240, "{name}: {}", world.machines());
+        for _ in 0..40 {
+            world.take_machine();
+        }
+        for nth in 0..40 {
+            world.cut_machine(3 * nth, 1000.0);
+        }
+        let hung: Vec<String> = (0..20)
+            .filter_map(|nth| world.cut_machine(3 * nth + 1, 2.0))
+            .collect();
+        world.run(41.0);
+        world.restart_leader(0.5);
+        world.run(70.0);
+        assert!(hung.iter().all(|name| world.has_machine(name)), "{name}");
+        assert_eq!(world.standing_without_task(), 0, "{name}");
+        world.run(110.0);
+        check(&world, &name);
+    }
+}
