--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -283,14 +283,17 @@
 
     /// Whether a start of this attempt may still be on its way to the worker.
     pub fn start_in_flight(&self, task: &TaskId, attempt: u64) -> bool {
-        let way = self.in_flight.get(&(task.clone(), attempt));
-        way.is_some_and(InFlight::is_open)
+        self.way(task, attempt).is_some_and(InFlight::is_open)
+    }
+
+    fn way(&self, task: &TaskId, attempt: u64) -> Option<&InFlight> {
+        self.in_flight.get(&(task.clone(), attempt))
     }
 
     /// Whether an exited attempt may be cleared: after that, a start that arrives late, or once more,
     /// would run it again. Copies do no harm to a task that is done, whose result is kept.
     fn may_clear(&self, task: &TaskId, step: &StepReport) -> bool {
-        let way = self.in_flight.get(&(task.clone(), step.attempt));
+        let way = self.way(task, step.attempt);
         way.is_none_or(|way| !way.is_open() && (step.cause == Some(Cause::Done) || !way.copies))
     }
 
--- a/src/coordination/leader/packing.rs
+++ b/src/coordination/leader/packing.rs
@@ -2,7 +2,6 @@
 
 use super::Leader;
 use crate::bookkeeping::hosts::{HaltReason, Host, Room};
-use crate::protocol::worker::TaskId;
 
 /// Share of a machine that its replicas take at most if they are moved.
 const SPARSE: f64 = 0.5;
@@ -44,15 +43,12 @@
             return;
         }
         let name = host.name.clone();
-        let tasks: Vec<TaskId> = host.bindings.keys().cloned().collect();
         tracing::info!(host = name, moved, "moving replicas together");
         if let Some(host) = self.hosts.get_mut(&name) {
             host.draining = true;
-            for task in &tasks {
+            for (task, binding) in &mut host.bindings {
                 let flush_s = self.jobs.get(&task.job).map_or(0.0, |job| job.spec.flush_s);
-                if let Some(binding) = host.bindings.get_mut(task) {
-                    binding.halt = Some((flush_s, HaltReason::Drained));
-                }
+                binding.halt = Some((flush_s, HaltReason::Drained));
             }
             self.push_due.insert(name);
         }
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -328,8 +328,7 @@
                 spec.spot && job.due.is_some_and(|due| now + ready_s + time_s < due)
             };
             // What will have its turn in time on the machines there are, or sooner than a new one is
-            // up, needs no others. Who has waited for longer than that was not told the truth: others
-            // keep coming that go first.
+            // up, needs no others.
             let served = |ahead: f64| {
                 let turn_s = margin * ahead / freed.max(1e-6);
                 let on_time = job.due.is_some_and(|due| now + turn_s + time_s <= due);
