Leases are renewed only with a view of the open jobs that is known to be current

Cause: the hold-over counted from the last renewal of the leader's Hold, which says nothing about what the leader knows of the open jobs. While its watch hung, or its tables took long to load, it renewed workers' leases without hearing of any cancellation. After an outage the Hold has its full time again, and starts of cancelled jobs could go out before the watch had caught up.

Now the right to answer reports lasts as long as the hold-over from the sending of the last watch whose answer told all changes; waits are a quarter of a report interval. While loading, reports that show tasks of jobs that aren't open get 503. No start goes out until the view is newer than the last refusal. Ends are told to peers until acknowledged, and reach the leader's tables at once.

--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -2,6 +2,7 @@
 
 use super::desk::Desk;
 use super::election::{Election, Outcome, Times};
+use super::ends::EndQueue;
 use super::leader::{Leader, Notice, ReportAnswer, STATE_SHARE};
 use super::outbox::{Action, CloudAsk, Outbox, StoreAsk, Tag};
 use super::watch::{News, Watch};
@@ -51,10 +52,13 @@
     catalogue_read: bool,
     quotas: Quotas,
     peers: BTreeMap<String, Peer>,
+    ends: EndQueue,
     /// Workers that knocked here while another node leads, and when.
     knocks: BTreeMap<String, f64>,
     beat_at: f64,
     state_ok_at: Option<f64>,
+    /// When the state service last refused this node, or left a call of it unanswered.
+    doubt_at: f64,
     hold_over_s: f64,
     rng: SmallRng,
 }
@@ -62,6 +66,13 @@
 /// Workers whose knocks are remembered.
 const MAX_KNOCKS: usize = 4096;
 
+/// Waits of the watch on the open jobs in a report interval: the longest time by which the view of them
+/// is less current than it could be.
+const WATCHES_PER_REPORT: f64 = 4.0;
+
+/// Report intervals for which a view of the open jobs is new enough for starts.
+const START_VIEW: f64 = 2.0;
+
 /// Report intervals of silence from all workers that are more than chance.
 const SILENT_REPORTS: f64 = 1.6;
 
@@ -76,7 +87,12 @@
         Controller {
             out: Outbox::default(),
             desk: Desk::new(&settings.deployment.state, share, patience_s),
-            jobs_watch: Watch::new(records::OPEN, StoreAsk::Mirror, workers.lease_s, patience_s),
+            jobs_watch: Watch::new(
+                records::OPEN,
+                StoreAsk::Mirror,
+                workers.report_s / WATCHES_PER_REPORT,
+                patience_s,
+            ),
             leader_watch: Watch::new(
                 records::LEADER,
                 StoreAsk::LeaderWatch,
@@ -91,9 +107,16 @@
             catalogue_read: false,
             quotas: Quotas::new(&settings.deployment.teams),
             peers: BTreeMap::new(),
+            ends: EndQueue::new(
+                &settings.label,
+                seed,
+                settings.seeds.iter().map(|seed| seed.label.clone()),
+                workers.cancel_s,
+            ),
             knocks: BTreeMap::new(),
             beat_at: 0.0,
             state_ok_at: None,
+            doubt_at: f64::NEG_INFINITY,
             hold_over_s: times.hold_over_s,
             rng: SmallRng::seed_from_u64(seed),
             settings,
@@ -214,9 +237,12 @@
         };
         let outcome = self.election.notice(report.epoch);
         self.follow_outcome(outcome, now);
-        let confirmed = self.election.confirmed(now);
+        let may_renew = self.may_renew(now);
+        let may_start = self.may_start(now);
         if let Some(leader) = &mut self.leader {
-            match leader.report(&report, confirmed, now) {
+            let open = &self.desk.open;
+            let is_open = |id: &str| open.contains_key(id);
+            match leader.report(&report, may_renew, may_start, is_open, now) {
                 ReportAnswer::Orders(orders) => {
                     let epoch = leader.epoch();
                     let answer = Commands {
@@ -228,6 +254,11 @@
                     self.out.answer(to, 200, &answer);
                     return;
                 }
+                // An answer that renews no lease: the worker comes again.
+                ReportAnswer::NotNow => {
+                    self.out.refuse(to, 503, "the open jobs aren't known", None);
+                    return;
+                }
                 ReportAnswer::Superseded => {}
             }
         }
@@ -238,6 +269,22 @@
         self.out.answer(to, 421, &Redirect { foreman });
     }
 
+    /// Whether this node leads and knows of every cancellation that could be due, so that it may renew
+    /// workers' leases.
+    fn may_renew(&self, now: f64) -> bool {
+        self.election.may_renew(self.jobs_watch.current_at(), now)
+    }
+
+    /// Whether starts may go out: this node certainly holds the lease, and has seen the open jobs since
+    /// the state service last refused it. After an outage a lease has its full time again, while jobs
+    /// may have been cancelled before of which this node hasn't heard yet.
+    fn may_start(&self, now: f64) -> bool {
+        let current_at = self.jobs_watch.current_at();
+        self.election.confirmed(now)
+            && current_at > self.doubt_at
+            && now - current_at < START_VIEW * self.report_s()
+    }
+
     /// The node to which workers are sent: the leader, unless that is this node or it is not
     /// certain that it still leads.
     fn foreman(&self, now: f64) -> Option<String> {
@@ -265,17 +312,19 @@
             ask,
             StoreAsk::Check(_) | StoreAsk::Look(_) | StoreAsk::Renew | StoreAsk::Write(_)
         );
-        if !matches!(reply, StoreReply::Refused | StoreReply::Silent) {
+        if matches!(reply, StoreReply::Refused | StoreReply::Silent) {
+            self.doubt_at = t;
+        } else {
             self.state_ok_at = Some(t);
         }
         match ask {
             StoreAsk::Mirror => {
-                for news in self.jobs_watch.reply(reply, t) {
+                for news in self.jobs_watch.reply(reply, sent, t) {
                     self.job_news(news, now);
                 }
             }
             StoreAsk::LeaderWatch => {
-                for news in self.leader_watch.reply(reply, t) {
+                for news in self.leader_watch.reply(reply, sent, t) {
                     self.leader_news(news, t);
                 }
             }
@@ -322,11 +371,22 @@
             }
             StoreAsk::Ignored => {}
         }
+        self.tell_ended();
         if !desk_only {
             self.drive(t);
         }
     }
 
+    /// Tells the leader of the jobs that the desk has learnt to be over: from its own transactions,
+    /// from a look, or from a peer, long before the watch may tell.
+    fn tell_ended(&mut self) {
+        for id in self.desk.take_over() {
+            if let Some(leader) = &mut self.leader {
+                leader.closed(&id);
+            }
+        }
+    }
+
     fn leader_of(&mut self, epoch: u64) -> Option<&mut Leader> {
         self.leader
             .as_mut()
@@ -388,7 +448,9 @@
         }
         let outcome = self.election.notice(beat.epoch);
         self.follow_outcome(outcome, now.steady);
-        self.desk.note_ended(&beat.ended);
+        self.ends.heard(&beat.label, &beat.ends);
+        self.desk.note_ended(&beat.ends.list);
+        self.tell_ended();
         match &mut self.leader {
             Some(leader) if beat.epoch >= leader.epoch() => {
                 leader.informed(&beat.label, now.steady);
@@ -520,7 +582,9 @@
         self.jobs_watch.drive(&mut self.out, t);
         self.leader_watch.drive(&mut self.out, t);
         let watching = self.leader_watch.listed();
-        let outcome = self.election.drive(watching, &mut self.out, t);
+        let outcome = self
+            .election
+            .drive(watching, self.jobs_watch.current_at(), &mut self.out, t);
         self.follow_outcome(outcome, t);
         self.drive_catalogue(t);
         self.desk.drive(&mut self.out, t);
@@ -534,10 +598,11 @@
         self.jobs_watch.drive(&mut self.out, now);
         self.leader_watch.drive(&mut self.out, now);
         let confirmed = self.election.confirmed(now);
+        let may_start = self.may_start(now);
         let Some(leader) = &mut self.leader else {
             return;
         };
-        leader.drive(confirmed, &mut self.out, now);
+        leader.drive(confirmed, may_start, &mut self.out, now);
         for notice in leader.take_notices() {
             let outcome = match notice {
                 Notice::Over(id, record) => {
@@ -592,6 +657,7 @@
             None => Vec::new(),
         };
         self.desk.note_counts(&counts);
+        self.ends.add(self.desk.take_news(), now);
         let beat = Beat {
             label: self.settings.label.clone(),
             epoch: self.election.highest(),
@@ -601,7 +667,7 @@
                 .is_some_and(|at| now - at < self.report_s()),
             knocks: self.knocks.len() as u32,
             counts,
-            ended: self.desk.take_news(),
+            ends: self.ends.word(now),
         };
         self.out.actions.push(Action::Beat(beat));
     }
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -51,6 +51,8 @@
     /// Those who came while the look was on its way: what it finds may be older than their request.
     later: Vec<Ticket>,
     stage: Stage,
+    /// The watch has meanwhile told that the job is closed: an open key that it finds is old.
+    overtaken: bool,
 }
 
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -125,6 +127,8 @@
     finals_order: VecDeque<String>,
     /// Jobs that have ended by this node's doing, for its next word to the peers.
     news: Vec<Ended>,
+    /// Jobs learnt to be over, for this node's leader.
+    over: Vec<String>,
     /// Display counts, from the leader.
     pub counts: HashMap<String, (u32, u32)>,
     polls: VecDeque<Ticket>,
@@ -157,6 +161,7 @@
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
             news: Vec::new(),
+            over: Vec::new(),
             counts: HashMap::new(),
             polls: VecDeque::new(),
             writes: VecDeque::new(),
@@ -186,6 +191,9 @@
     pub fn note_closed(&mut self, id: &str) {
         self.open.remove(id);
         self.counts.remove(id);
+        if let Some(look) = self.looks.get_mut(id) {
+            look.overtaken = true;
+        }
     }
 
     /// Notes how a job ended.
@@ -193,6 +201,7 @@
         self.open.remove(id);
         self.counts.remove(id);
         if self.finals.insert(id.to_owned(), record).is_none() {
+            self.over.push(id.to_owned());
             self.finals_order.push_back(id.to_owned());
             if self.finals_order.len() > FINALS
                 && let Some(oldest) = self.finals_order.pop_front()
@@ -214,6 +223,11 @@
         self.note_over(id, record);
     }
 
+    /// Jobs that have been learnt to be over since the last time.
+    pub fn take_over(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.over)
+    }
+
     /// What the peers have not been told yet.
     pub fn take_news(&mut self) -> Vec<Ended> {
         std::mem::take(&mut self.news)
@@ -608,6 +622,13 @@
         let Some(look) = self.looks.remove(id) else {
             return;
         };
+        if look.overtaken && matches!(fate, Some(Fate::Open(..))) {
+            for ticket in look.tickets.into_iter().chain(look.later) {
+                self.look(ticket);
+            }
+            self.drive(out, now);
+            return;
+        }
         match &fate {
             Some(Fate::Open(stamp, spec)) => {
                 self.open.insert(id.to_owned(), (*stamp, spec.clone()));
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -11,7 +11,8 @@
 pub struct Times {
     /// Life of the leader's lease.
     pub life_s: f64,
-    /// For how long after its last renewal a leader goes on answering reports.
+    /// For how long a leader answers reports after the last renewal of its lease, and after its view of
+    /// the open jobs was last known to be current.
     pub hold_over_s: f64,
     /// For how long a leader that gave up stays out of elections.
     pub quiet_s: f64,
@@ -20,9 +21,10 @@
 impl Times {
     /// Times for these figures of the workers.
     ///
-    /// A leader that holds over may be cut off with its workers, and hears of no cancellation. The
-    /// tasks of a job that was cancelled right after the last renewal must be gone in time even so:
-    /// their workers' leases, renewed until the hold-over ends, must have run out by then.
+    /// Who renews a worker's lease must know of every cancellation that could be due. A leader whose
+    /// view of the open jobs is no longer current hears of none; the tasks of a job that was cancelled
+    /// right after it was so must be gone in time all the same: their workers' leases, renewed until
+    /// the hold-over ends, must have run out by then.
     pub fn new(workers: &Workers) -> Times {
         let lease_s = workers.lease_s;
         let life_s = (lease_s / 5.0).max(0.1);
@@ -70,6 +72,7 @@
     known: Option<(LeaderRecord, u64)>,
     /// Highest Epoch known from anywhere.
     highest: u64,
+    won_at: f64,
     renewed_at: f64,
     renew_next: f64,
     renewing: bool,
@@ -88,6 +91,7 @@
             phase: Phase::Following,
             known: None,
             highest: 0,
+            won_at: 0.0,
             renewed_at: 0.0,
             renew_next: 0.0,
             renewing: false,
@@ -108,6 +112,12 @@
         self.epoch().is_some() && now < self.renewed_at + self.times.life_s * (1.0 - 2.0 * DRIFT)
     }
 
+    /// Whether this node leads and may renew workers' leases, with a view of the open jobs that was
+    /// current at `current_at`.
+    pub fn may_renew(&self, current_at: f64, now: f64) -> bool {
+        self.epoch().is_some() && now <= self.renewed_at.min(current_at) + self.times.hold_over_s
+    }
+
     /// Highest Epoch known from anywhere.
     pub fn highest(&self) -> u64 {
         self.highest
@@ -203,13 +213,25 @@
         self.times.life_s * PATIENCE
     }
 
-    /// Renews, campaigns or lets go, as is due. `watching`: the watch knows the key.
-    pub fn drive(&mut self, watching: bool, out: &mut Outbox, now: f64) -> Outcome {
+    /// Renews, campaigns or lets go, as is due. `watching`: the watch knows the key; `current_at`: up
+    /// to when the view of the open jobs is current.
+    pub fn drive(
+        &mut self,
+        watching: bool,
+        current_at: f64,
+        out: &mut Outbox,
+        now: f64,
+    ) -> Outcome {
         match self.phase {
             Phase::Leading { hold, .. } => {
                 if now > self.renewed_at + self.times.hold_over_s {
                     return self.step_down();
                 }
+                // It holds the lease and is of no use: another may have a view that is current.
+                if now > self.won_at.max(current_at) + self.times.hold_over_s {
+                    tracing::info!("the open jobs can't be followed: giving up the lead");
+                    return self.give_up(out, now);
+                }
                 if !self.renewing && now >= self.renew_next {
                     self.renewing = true;
                     out.store(
@@ -272,6 +294,7 @@
                     self.phase = Phase::Leading { epoch, hold };
                     self.known = Some((self.me.clone(), epoch));
                     self.highest = self.highest.max(epoch);
+                    self.won_at = now;
                     self.renewed_at = since;
                     self.renew_next = since + self.times.life_s * RENEW;
                     self.renewing = false;
--- /dev/null
+++ b/src/coordination/ends.rs
@@ -0,0 +1,95 @@
+//! Ends of jobs that peers are told of, again and again until each has acknowledged them.
+//!
+//! A leader that the state service refuses learns of cancellations in this way only. Nothing relies on
+//! it: what a peer has not heard of, it bounds by time (see `Times::hold_over_s`). So the queue may
+//! drop what is older than a cancelled task can be, and the oldest when there are too many.
+
+use crate::protocol::peer::{Ack, Ended, Ends, MAX_ENDED};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What this node has to tell, and what it has heard.
+#[derive(Debug)]
+pub struct EndQueue {
+    me: String,
+    /// Tells this process from earlier ones of the same node, whose numbers are others.
+    life: u64,
+    /// Number of the first end in the queue.
+    first: u64,
+    queue: VecDeque<(f64, Ended)>,
+    /// For so long a peer may need to hear of an end.
+    keep_s: f64,
+    /// Each peer's high-water mark: it has heard of all ends before this number.
+    acked: BTreeMap<String, u64>,
+    /// Each peer's life, and the number up to which it was heard.
+    heard: BTreeMap<String, (u64, u64)>,
+}
+
+impl EndQueue {
+    /// An empty queue for these peers.
+    pub fn new(me: &str, life: u64, peers: impl Iterator<Item = String>, keep_s: f64) -> EndQueue {
+        EndQueue {
+            me: me.to_owned(),
+            life,
+            first: 0,
+            queue: VecDeque::new(),
+            keep_s,
+            acked: peers.map(|label| (label, 0)).collect(),
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Adds ends that peers are to be told of.
+    pub fn add(&mut self, ended: Vec<Ended>, now: f64) {
+        self.queue.extend(ended.into_iter().map(|e| (now, e)));
+        while self.queue.len() > MAX_ENDED {
+            self.drop_first();
+        }
+    }
+
+    fn drop_first(&mut self) {
+        self.queue.pop_front();
+        self.first += 1;
+    }
+
+    /// What goes into this node's next word to its peers.
+    pub fn word(&mut self, now: f64) -> Ends {
+        while let Some((since, _)) = self.queue.front()
+            && now - since > self.keep_s
+        {
+            self.drop_first();
+        }
+        Ends {
+            life: self.life,
+            first: self.first,
+            list: self.queue.iter().map(|(_, ended)| ended.clone()).collect(),
+            acks: self
+                .heard
+                .iter()
+                .map(|(label, (life, up_to))| Ack {
+                    label: label.clone(),
+                    life: *life,
+                    up_to: *up_to,
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes a peer's word: what it has acknowledged need not be told any more, and what it tells is
+    /// acknowledged with this node's next word.
+    pub fn heard(&mut self, peer: &str, ends: &Ends) {
+        let Some(mark) = self.acked.get_mut(peer) else {
+            return;
+        };
+        let acks = ends
+            .acks
+            .iter()
+            .filter(|ack| ack.label == self.me && ack.life == self.life);
+        *mark = acks.map(|ack| ack.up_to).fold(*mark, u64::max);
+        let all = self.acked.values().copied().min().unwrap_or(0);
+        while self.first < all && !self.queue.is_empty() {
+            self.drop_first();
+        }
+        let up_to = ends.first.saturating_add(ends.list.len() as u64);
+        self.heard.insert(peer.to_owned(), (ends.life, up_to));
+    }
+}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -83,6 +83,8 @@
     refused_for: Vec<String>,
     schedule_due: bool,
     schedule_at: f64,
+    /// Starts may go out, as of the last time.
+    may_start: bool,
     push_due: BTreeSet<String>,
     /// Hosts with a direct call on its way, and whether it may well not be answered.
     pushing: HashMap<String, bool>,
@@ -140,6 +142,7 @@
             refused_for: Vec::new(),
             schedule_due: true,
             schedule_at: 0.0,
+            may_start: true,
             push_due: BTreeSet::new(),
             pushing: HashMap::new(),
             pushed_at: HashMap::new(),
@@ -315,8 +318,9 @@
         host.lease_from + workers.lease_s * (1.0 + 4.0 * DRIFT) + workers.report_s / 5.0
     }
 
-    /// Does all that is due. `confirmed`: this node certainly holds the lease.
-    pub fn drive(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
+    /// Does all that is due. `confirmed`: this node certainly holds the lease; `may_start`: and knows
+    /// which jobs are open now.
+    pub fn drive(&mut self, confirmed: bool, may_start: bool, out: &mut Outbox, now: f64) {
         if now - self.drove_at > self.settings.deployment.workers.report_s / 4.0 {
             tracing::info!(gap_s = now - self.drove_at, "this node stood still");
             self.awake_since = now;
@@ -332,7 +336,13 @@
         }
         self.drive_writes(out, now);
         self.drive_fleet(confirmed, out, now);
-        self.drive_pushes(confirmed, out, now);
+        if may_start && !self.may_start {
+            // Starts that had to wait.
+            let names = self.hosts.iter().map(|host| host.name.clone());
+            self.push_due.extend(names);
+        }
+        self.may_start = may_start;
+        self.drive_pushes(may_start, out, now);
     }
 
     /// Ends the bindings of workers that have been silent for longer than their lease can last.
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -21,21 +21,45 @@
 pub enum ReportAnswer {
     /// 200 with these orders.
     Orders(Vec<Order>),
+    /// Nothing that renews its lease: what runs there may be cancelled.
+    NotNow,
     /// The worker has seen a higher Epoch: 421.
     Superseded,
 }
 
 impl Leader {
-    /// Takes a report that a worker sent by itself. The answer renews its lease.
-    pub fn report(&mut self, report: &Report, confirmed: bool, now: f64) -> ReportAnswer {
+    /// Takes a report that a worker sent by itself. The answer renews its lease, if `may_renew`: this
+    /// node knows of every cancellation that could be due. `is_open`: the open jobs that this node knows
+    /// of besides the tables.
+    pub fn report(
+        &mut self,
+        report: &Report,
+        may_renew: bool,
+        may_start: bool,
+        is_open: impl Fn(&str) -> bool,
+        now: f64,
+    ) -> ReportAnswer {
         if report.epoch > self.epoch {
             self.note(Notice::Epoch(report.epoch));
             return ReportAnswer::Superseded;
         }
+        if !may_renew {
+            return ReportAnswer::NotNow;
+        }
         if self.loading() {
-            if self.early.len() < MAX_EARLY {
-                self.early.insert(report.host.clone(), report.clone());
+            // Nothing can be stopped yet, however long it takes to load: workers with tasks of jobs
+            // that are over don't have their leases renewed meanwhile.
+            let runs_closed = report
+                .steps
+                .iter()
+                .filter(|step| step.status != StepStatus::Exited)
+                .filter_map(|step| TaskId::parse(&step.step))
+                .any(|task| !is_open(&task.job));
+            let known = self.early.contains_key(&report.host);
+            if runs_closed || (!known && self.early.len() >= MAX_EARLY) {
+                return ReportAnswer::NotNow;
             }
+            self.early.insert(report.host.clone(), report.clone());
             return ReportAnswer::Orders(Vec::new());
         }
         if !self.take_report(report, true, now) {
@@ -45,9 +69,9 @@
         let Some(host) = self.hosts.get_mut(&report.host) else {
             return ReportAnswer::Orders(Vec::new());
         };
-        let orders = host.orders(confirmed, MAX_ORDERS);
+        let orders = host.orders(may_start, MAX_ORDERS);
         host.note_sent(&orders, Some(report.tick));
-        if confirmed && orders.len() < MAX_ORDERS {
+        if may_start && orders.len() < MAX_ORDERS {
             // The answer carries all; the next report shows what came of it.
             self.push_due.remove(&report.host);
             self.pushed_at
@@ -320,7 +344,7 @@
     /// Sends direct commands where the workers don't yet do what is wanted, and this leader's Epoch
     /// where it is not known yet. Calls at a time are bounded, and workers that may not answer get a
     /// part of them only: a zone that is cut off must not keep commands from the others.
-    pub(super) fn drive_pushes(&mut self, confirmed: bool, out: &mut Outbox, now: f64) {
+    pub(super) fn drive_pushes(&mut self, may_start: bool, out: &mut Outbox, now: f64) {
         let report_s = self.settings.deployment.workers.report_s;
         let limit = self.settings.deployment.quota.direct_sockets();
         let missed = |host: &Host| {
@@ -343,7 +367,7 @@
                 continue;
             };
             let mut orders = if host.acked {
-                host.orders(confirmed, MAX_ORDERS)
+                host.orders(may_start, MAX_ORDERS)
             } else {
                 Vec::new()
             };
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod controller;
 pub mod desk;
 pub mod election;
+pub mod ends;
 pub mod leader;
 pub mod outbox;
 pub mod scheduler;
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -30,13 +30,19 @@
     /// The last call had no usable answer.
     failed: bool,
     retry_at: f64,
+    current_at: f64,
 }
 
+/// How often a watch that waits asks anew before it is no longer thought to be in step.
+const IN_STEP: f64 = 2.0;
+
 /// Keys that a watch keeps of an unfinished listing; more are not held.
 const MAX_ITEMS: usize = 50_000;
 
 impl Watch {
     /// A watch whose waits last `wait_s`; other calls may take `patience_s`.
+    ///
+    /// The shorter the waits, the better it is known up to when the content is current.
     pub fn new(prefix: &'static str, ask: StoreAsk, wait_s: f64, patience_s: f64) -> Watch {
         Watch {
             prefix,
@@ -50,6 +56,7 @@
             known: false,
             failed: false,
             retry_at: 0.0,
+            current_at: f64::NEG_INFINITY,
         }
     }
 
@@ -58,6 +65,12 @@
         self.known
     }
 
+    /// Up to when the content is certainly current: every change that was made before is known. That
+    /// is when the last call was sent whose answer told all changes.
+    pub fn current_at(&self) -> f64 {
+        self.current_at
+    }
+
     /// Makes the next call if it is time.
     pub fn drive(&mut self, out: &mut Outbox, now: f64) {
         if self.in_flight || now < self.retry_at {
@@ -65,14 +78,17 @@
         }
         self.in_flight = true;
         let (call, within_s) = match self.revision {
-            Some(from) => (
-                StoreCall::Follow {
+            Some(from) => {
+                // After an interruption it catches up first, and waits for news then.
+                let in_step = now - self.current_at < IN_STEP * self.wait_s + self.patience_s;
+                let wait_s = if in_step { self.wait_s } else { 0.0 };
+                let call = StoreCall::Follow {
                     under: self.prefix.to_owned(),
                     from,
-                    wait_ms: (self.wait_s * 1000.0) as u64,
-                },
-                self.wait_s + self.patience_s,
-            ),
+                    wait_ms: (wait_s * 1000.0) as u64,
+                };
+                (call, wait_s + self.patience_s)
+            }
             None => (
                 StoreCall::List {
                     under: self.prefix.to_owned(),
@@ -84,8 +100,8 @@
         out.store(self.ask.clone(), call, within_s, now);
     }
 
-    /// Takes an answer.
-    pub fn reply(&mut self, reply: StoreReply, now: f64) -> Vec<News> {
+    /// Takes the answer to the call that was made at `sent`.
+    pub fn reply(&mut self, reply: StoreReply, sent: f64, now: f64) -> Vec<News> {
         self.in_flight = false;
         match reply {
             StoreReply::Page(items, more, revision) => {
@@ -103,6 +119,7 @@
             StoreReply::Events(events, revision) => {
                 self.failed = false;
                 self.revision = Some(revision.max(self.revision.unwrap_or(0)));
+                self.current_at = sent;
                 events
                     .into_iter()
                     .map(|event| match event {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -32,6 +32,30 @@
     pub done: u32,
 }
 
+/// Up to which number a node has heard of a peer's ends.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Ack {
+    /// The peer.
+    pub label: String,
+    /// Which of its processes.
+    pub life: u64,
+    /// All ends before this number were heard.
+    pub up_to: u64,
+}
+
+/// Ends of jobs that some peer has not acknowledged yet; peers need not look them up.
+#[derive(Debug, Clone, Default, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Ends {
+    /// Tells this process from earlier ones of the same node.
+    pub life: u64,
+    /// Number of the first of the list.
+    pub first: u64,
+    /// The ends, numbered in order.
+    pub list: Vec<Ended>,
+    /// What was heard of each peer.
+    pub acks: Vec<Ack>,
+}
+
 /// A node's regular word to its peers.
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
 pub struct Beat {
@@ -47,8 +71,8 @@
     pub knocks: u32,
     /// From the leader: display counts of the open jobs.
     pub counts: Vec<Counts>,
-    /// Jobs that have ended by this node's doing since its last word: peers need not look them up.
-    pub ended: Vec<Ended>,
+    /// Jobs that have ended by this node's doing.
+    pub ends: Ends,
 }
 
 /// Encodes a message, without its frame.
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -44,7 +44,7 @@
     }
     /// Wins with Epoch 42 at time 0.1; the lease was asked for at time 0.
     fn won(mut self) -> Bed {
-        self.election.drive(true, &mut self.out, 0.0);
+        self.election.drive(true, 0.0, &mut self.out, 0.0);
         self.reply(StoreAsk::Grant, StoreReply::Granted(9), 0.0, 0.05);
         let outcome = self.reply(StoreAsk::Take, StoreReply::Committed(42), 0.05, 0.1);
         assert_eq!(outcome, Outcome::Won(42));
@@ -53,6 +53,11 @@
     }
 }
 
+/// A step of a node whose view of the open jobs was current at `current_at`.
+fn drive(bed: &mut Bed, current_at: f64, now: f64) -> Outcome {
+    bed.election.drive(true, current_at, &mut bed.out, now)
+}
+
 fn record(label: &str, life: u64) -> LeaderRecord {
     LeaderRecord {
         label: label.into(),
@@ -83,7 +88,7 @@
     for (name, known, watching, takes) in cases {
         let mut bed = Bed::new();
         bed.election.observe(known, 0.0, 0.0);
-        bed.election.drive(watching, &mut bed.out, 1.0);
+        bed.election.drive(watching, 1.0, &mut bed.out, 1.0);
         let granted = bed.calls();
         let Some(stamp) = takes else {
             assert_eq!(granted, vec![], "{name}");
@@ -102,7 +107,7 @@
 fn reigns() {
     type Steps = fn(&mut Bed) -> Outcome;
     // (name, steps, outcome of the last, still leading)
-    let cases: [(&str, Steps, Outcome, bool); 9] = [
+    let cases: [(&str, Steps, Outcome, bool); 12] = [
         (
             "a renewal",
             |b| b.reply(StoreAsk::Renew, StoreReply::Ok, 1.0, 1.1),
@@ -147,16 +152,40 @@
         ),
         (
             "no renewal until the hold-over ends",
-            |b| b.election.drive(true, &mut b.out, HOLD_OVER_S - 0.1),
+            |b| drive(b, HOLD_OVER_S - 0.1, HOLD_OVER_S - 0.1),
             Outcome::Same,
             true,
         ),
         (
             "no renewal beyond the hold-over",
-            |b| b.election.drive(true, &mut b.out, HOLD_OVER_S + 0.1),
+            |b| drive(b, HOLD_OVER_S + 0.1, HOLD_OVER_S + 0.1),
+            Outcome::Lost,
+            false,
+        ),
+        (
+            "renewed, with a view of the open jobs as old as a hold-over may be",
+            |b| {
+                b.reply(StoreAsk::Renew, StoreReply::Ok, 25.0, 25.1);
+                drive(b, 9.0, 9.0 + HOLD_OVER_S - 0.1)
+            },
+            Outcome::Same,
+            true,
+        ),
+        (
+            "renewed, with a view of the open jobs that is older than that",
+            |b| {
+                b.reply(StoreAsk::Renew, StoreReply::Ok, 25.0, 25.1);
+                drive(b, 9.0, 9.0 + HOLD_OVER_S + 0.1)
+            },
             Outcome::Lost,
             false,
         ),
+        (
+            "just won, with an old view: it has time to catch up",
+            |b| drive(b, -100.0, 1.0),
+            Outcome::Same,
+            true,
+        ),
     ];
     for (name, steps, outcome, leads) in cases {
         let mut bed = Bed::new().won();
@@ -178,12 +207,35 @@
     }
 }
 
+/// Workers' leases are renewed while both the lease and the view of the open jobs are new enough: the
+/// one shows that no successor has acted, the other that no cancellation is unknown.
+#[test]
+fn renewing() {
+    // Each: when the view was current, now, and whether leases may be renewed; the lease itself was
+    // last renewed at second 10.
+    let end = 10.0 + HOLD_OVER_S;
+    let cases = [
+        ("both are new", 10.0, 10.5, true),
+        ("both are old, but not too old", 10.0, end - 0.1, true),
+        ("the lease is too old", 20.0, end + 0.1, false),
+        ("the view is too old", 5.0, 5.0 + HOLD_OVER_S + 0.1, false),
+        ("no view yet", f64::NEG_INFINITY, 10.5, false),
+    ];
+    for (name, current_at, now, expected) in cases {
+        let mut bed = Bed::new().won();
+        bed.reply(StoreAsk::Renew, StoreReply::Ok, 10.0, 10.1);
+        let may_renew = bed.election.may_renew(current_at, now);
+        assert_eq!(may_renew, expected, "{name}");
+    }
+    assert!(!Bed::new().election.may_renew(10.0, 10.0), "not elected");
+}
+
 /// Another node takes the lead while this node's lease is on its way: its key is left alone. Taking
 /// over by the version just seen, as if it were one's own, deposed a leader of a few milliseconds.
 #[test]
 fn beaten_to_it() {
     let mut bed = Bed::new();
-    bed.election.drive(true, &mut bed.out, 0.0);
+    bed.election.drive(true, 0.0, &mut bed.out, 0.0);
     bed.election.observe(Some((record("n1", 5), 7)), 0.0, 0.05);
     bed.calls();
     bed.reply(StoreAsk::Grant, StoreReply::Granted(9), 0.0, 0.1);
@@ -195,7 +247,7 @@
 #[test]
 fn unanswered_take() {
     let mut bed = Bed::new();
-    bed.election.drive(true, &mut bed.out, 0.0);
+    bed.election.drive(true, 0.0, &mut bed.out, 0.0);
     bed.reply(StoreAsk::Grant, StoreReply::Granted(9), 0.0, 0.1);
     bed.calls();
     bed.reply(StoreAsk::Take, StoreReply::Silent, 0.1, 0.8);
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -1,7 +1,7 @@
 //! What comes in from outside: submissions, HTTP, frames, settings.
 
 use cedarladder::protocol::job::{BadJob, parse};
-use cedarladder::protocol::peer::{self, Beat, Counts, Ended};
+use cedarladder::protocol::peer::{self, Ack, Beat, Counts, Ended, Ends};
 use cedarladder::protocol::{cbor, worker};
 use cedarladder::settings::Settings;
 use cedarladder::transport::frames::split;
@@ -194,11 +194,20 @@
             done: 1,
             running: 2,
         }],
-        ended: vec![Ended {
-            job: "j-2".into(),
-            aborted: true,
-            done: 3,
-        }],
+        ends: Ends {
+            life: 5,
+            first: 8,
+            list: vec![Ended {
+                job: "j-2".into(),
+                aborted: true,
+                done: 3,
+            }],
+            acks: vec![Ack {
+                label: "n0".into(),
+                life: 4,
+                up_to: 9,
+            }],
+        },
     };
     let frame = peer::encode(&beat);
     assert_eq!(peer::decode(&frame), Some(beat));
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,169 @@
+//! What peers tell one another of ended jobs, and how a watch knows that it is current.
+
+use cedarladder::coordination::ends::EndQueue;
+use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
+use cedarladder::coordination::watch::Watch;
+use cedarladder::protocol::peer::{Ended, Ends, MAX_ENDED};
+use cedarladder::protocol::state::{StoreCall, StoreReply};
+
+const KEEP_S: f64 = 30.0;
+
+fn queue(label: &str, life: u64) -> EndQueue {
+    let peers = ["a", "b", "c"].into_iter().filter(|peer| *peer != label);
+    EndQueue::new(label, life, peers.map(str::to_owned), KEEP_S)
+}
+
+fn ended(n: usize) -> Ended {
+    Ended {
+        job: format!("j-{n:06}"),
+        aborted: true,
+        done: 0,
+    }
+}
+
+fn jobs(ends: &Ends) -> Vec<&str> {
+    ends.list.iter().map(|e| e.job.as_str()).collect()
+}
+
+/// An end is told again until each peer has acknowledged it, whatever is lost in between.
+#[test]
+fn ends_are_acknowledged() {
+    let (mut a, mut b, mut c) = (queue("a", 1), queue("b", 2), queue("c", 3));
+    a.add(vec![ended(1), ended(2)], 0.0);
+    // The first word reaches only one of the peers, and its acknowledgement is lost.
+    let word = a.word(1.0);
+    assert_eq!(jobs(&word), ["j-000001", "j-000002"]);
+    b.heard("a", &word);
+    assert_eq!(
+        jobs(&a.word(2.0)),
+        ["j-000001", "j-000002"],
+        "nobody has acknowledged"
+    );
+    a.heard("b", &b.word(2.0));
+    assert_eq!(jobs(&a.word(3.0)), ["j-000001", "j-000002"], "one has not");
+    a.add(vec![ended(3)], 3.0);
+    c.heard("a", &word);
+    a.heard("c", &c.word(4.0));
+    assert_eq!(
+        jobs(&a.word(5.0)),
+        ["j-000003"],
+        "what both have heard is done with"
+    );
+    // A peer's process that ended and came back is told what its former life had not acknowledged.
+    let word = a.word(6.0);
+    let mut b = queue("b", 20);
+    b.heard("a", &word);
+    c.heard("a", &word);
+    a.heard("b", &b.word(7.0));
+    a.heard("c", &c.word(7.0));
+    assert_eq!(jobs(&a.word(8.0)), Vec::<&str>::new());
+    // An acknowledgement for an earlier life of this node says nothing about its ends now.
+    let mut a = queue("a", 10);
+    a.add(vec![ended(4)], 9.0);
+    a.heard("b", &b.word(9.0));
+    a.heard("c", &c.word(9.0));
+    assert_eq!(jobs(&a.word(10.0)), ["j-000004"]);
+}
+
+/// What nobody acknowledges is bounded by number and by time; acknowledgements stay right beyond both.
+#[test]
+fn ends_are_bounded() {
+    let (mut a, mut b, mut c) = (queue("a", 1), queue("b", 2), queue("c", 3));
+    a.add((0..MAX_ENDED + 5).map(ended).collect(), 0.0);
+    let word = a.word(1.0);
+    assert_eq!(word.list.len(), MAX_ENDED);
+    assert_eq!((word.first, word.list[0].clone()), (5, ended(5)));
+    a.add(vec![ended(9_999)], 20.0);
+    let word = a.word(KEEP_S + 1.0);
+    assert_eq!(
+        jobs(&word),
+        ["j-009999"],
+        "the others are too old to matter"
+    );
+    b.heard("a", &word);
+    c.heard("a", &word);
+    a.heard("b", &b.word(32.0));
+    a.heard("c", &c.word(32.0));
+    assert!(a.word(33.0).list.is_empty());
+    a.heard("a stranger", &word);
+    a.add(vec![ended(7)], 34.0);
+    assert_eq!(jobs(&a.word(35.0)), ["j-000007"]);
+}
+
+/// A watch is current as of the sending of the last call that told all changes: not of its answer, nor
+/// of a call that was refused or not answered.
+#[test]
+fn how_current_a_watch_is() {
+    let page = || StoreReply::Page(Vec::new(), false, 9);
+    let events = || StoreReply::Events(Vec::new(), 9);
+    // Each: answers with the time of their calls' sending and their own, and when it was current.
+    type Case = (&'static str, Vec<(StoreReply, f64, f64)>, f64);
+    let cases: Vec<Case> = vec![
+        (
+            "a listing alone",
+            vec![(page(), 1.0, 1.1)],
+            f64::NEG_INFINITY,
+        ),
+        (
+            "a wait that brought nothing",
+            vec![(page(), 1.0, 1.1), (events(), 1.1, 2.1)],
+            1.1,
+        ),
+        (
+            "an answer long under way",
+            vec![(page(), 1.0, 1.1), (events(), 1.1, 9.0)],
+            1.1,
+        ),
+        (
+            "refused and unanswered since",
+            vec![
+                (page(), 1.0, 1.1),
+                (events(), 1.1, 2.1),
+                (StoreReply::Refused, 2.1, 3.0),
+                (StoreReply::Silent, 3.1, 5.0),
+            ],
+            1.1,
+        ),
+        (
+            "too old, and to be read anew",
+            vec![
+                (page(), 1.0, 1.1),
+                (events(), 1.1, 1.2),
+                (StoreReply::Gone, 1.2, 2.0),
+                (page(), 2.0, 2.1),
+            ],
+            1.1,
+        ),
+    ];
+    for (name, replies, current_at) in cases {
+        let mut watch = Watch::new("open/", StoreAsk::Mirror, 1.0, 0.5);
+        for (reply, sent, at) in replies {
+            watch.reply(reply, sent, at);
+        }
+        assert_eq!(watch.current_at(), current_at, "{name}");
+    }
+}
+
+/// After an interruption a watch catches up with a call that doesn't wait, so that it soon knows that it
+/// is current.
+#[test]
+fn a_watch_catches_up_first() {
+    let mut watch = Watch::new("open/", StoreAsk::Mirror, 1.0, 0.5);
+    let wait_ms = |watch: &mut Watch, now: f64| {
+        let mut out = Outbox::default();
+        watch.drive(&mut out, now);
+        out.actions.into_iter().find_map(|action| match action {
+            Action::Store {
+                call: StoreCall::Follow { wait_ms, .. },
+                ..
+            } => Some(wait_ms),
+            _ => None,
+        })
+    };
+    watch.reply(StoreReply::Page(Vec::new(), false, 9), 1.0, 1.1);
+    assert_eq!(wait_ms(&mut watch, 1.2), Some(0), "after the listing");
+    watch.reply(StoreReply::Events(Vec::new(), 9), 1.2, 1.3);
+    assert_eq!(wait_ms(&mut watch, 1.3), Some(1_000), "in step");
+    watch.reply(StoreReply::Refused, 1.3, 20.0);
+    assert_eq!(wait_ms(&mut watch, 20.2), Some(0), "after an outage");
+}
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -5,7 +5,7 @@
 use cedarladder::coordination::leader::{Leader, ReportAnswer};
 use cedarladder::policy::Policy;
 use cedarladder::protocol::state::StoreReply;
-use cedarladder::protocol::worker::Report;
+use cedarladder::protocol::worker::{Order, Report, StepReport, StepStatus, Verb};
 use cedarladder::settings::Settings;
 use common::flavor;
 use rand::SeedableRng;
@@ -16,11 +16,7 @@
 
 /// A leader that has just found all its tables empty.
 fn leader() -> Leader {
-    let settings = Rc::new(Settings::parse(include_str!("world/settings.toml")).expect("settings"));
-    let policy = Rc::new(Policy::built_in(&settings));
-    let flavors = Rc::new(vec![flavor("f")]);
-    let rng = SmallRng::seed_from_u64(1);
-    let mut leader = Leader::new(EPOCH, settings, policy, flavors, 30.0, rng, 0.0);
+    let mut leader = loading();
     for _ in 0..3 {
         leader.loaded(StoreReply::Page(Vec::new(), false, 9), 0.0, 0.0);
     }
@@ -28,6 +24,15 @@
     leader
 }
 
+/// A leader that has not read anything yet.
+fn loading() -> Leader {
+    let settings = Rc::new(Settings::parse(include_str!("world/settings.toml")).expect("settings"));
+    let policy = Rc::new(Policy::built_in(&settings));
+    let flavors = Rc::new(vec![flavor("f")]);
+    let rng = SmallRng::seed_from_u64(1);
+    Leader::new(EPOCH, settings, policy, flavors, 30.0, rng, 0.0)
+}
+
 fn report(tenure: u64, tick: u64, epoch: u64) -> Report {
     Report {
         host: "h".into(),
@@ -86,7 +91,7 @@
     for (name, reports, silence) in cases {
         let mut leader = leader();
         for (at, report) in reports {
-            let answer = leader.report(&report, true, at);
+            let answer = leader.report(&report, true, true, |_| true, at);
             assert_eq!(answer, ReportAnswer::Orders(Vec::new()), "{name}");
         }
         assert_eq!(leader.silent_for(30.0), silence, "{name}");
@@ -101,7 +106,80 @@
         ("ours", EPOCH, false),
         ("a higher one", EPOCH + 1, true),
     ] {
-        let answer = leader().report(&report(1, 1, epoch), true, 1.0);
+        let answer = leader().report(&report(1, 1, epoch), true, true, |_| true, 1.0);
         assert_eq!(answer == ReportAnswer::Superseded, expected, "{name}");
     }
 }
+
+/// An answer with 200 renews the worker's lease: only who knows of every cancellation that could be due
+/// gives one. A leader that loads its tables can't stop anything yet, however long that takes.
+#[test]
+fn whose_lease_is_renewed() {
+    let step = |status| StepReport {
+        step: "j-000001/0".into(),
+        attempt: 7,
+        status,
+        cause: None,
+    };
+    let running = || vec![step(StepStatus::Running)];
+    // Each: whether the tables are loaded, the tasks, whether the node may renew, whether it knows the
+    // job as open, and whether the lease is renewed.
+    let cases = [
+        (
+            "a view that is too old",
+            true,
+            running(),
+            false,
+            true,
+            false,
+        ),
+        ("too old, while loading", false, vec![], false, true, false),
+        (
+            "loading, and the job is open",
+            false,
+            running(),
+            true,
+            true,
+            true,
+        ),
+        (
+            "loading, and the job is over",
+            false,
+            running(),
+            true,
+            false,
+            false,
+        ),
+        (
+            "loading, and the task has exited",
+            false,
+            vec![step(StepStatus::Exited)],
+            true,
+            false,
+            true,
+        ),
+    ];
+    for (name, loaded, steps, may_renew, open, renewed) in cases {
+        let mut leader = if loaded { leader() } else { loading() };
+        let mut report = report(1, 1, EPOCH);
+        report.steps = steps;
+        let answer = leader.report(&report, may_renew, may_renew, |_| open, 1.0);
+        let expected = if renewed {
+            ReportAnswer::Orders(Vec::new())
+        } else {
+            ReportAnswer::NotNow
+        };
+        assert_eq!(answer, expected, "{name}");
+    }
+    // Once loaded, what belongs to no open job is stopped with the same answer.
+    let mut report = report(1, 1, EPOCH);
+    report.steps = running();
+    let answer = leader().report(&report, true, false, |_| false, 1.0);
+    let halt = Order {
+        verb: Verb::Halt,
+        step: "j-000001/0".into(),
+        attempt: 7,
+        drain_s: Some(0.0),
+    };
+    assert_eq!(answer, ReportAnswer::Orders(vec![halt]));
+}
