--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,94 @@
+//! The cloud.
+
+use super::*;
+
+impl World {
+    pub(super) fn cloud_call(&mut self, call: &CloudCall) -> CloudReply {
+        match call {
+            CloudCall::Types => CloudReply::Types(vec![Flavor {
+                name: "f".into(),
+                cpus: 8.0,
+                gpus: 0.0,
+                ram: 32.0,
+                cache_gb: 10.0,
+                pull_gb_s: 1.0,
+                hourly: 1.0,
+                market_price: Some(0.3),
+                ready_s: 5.0,
+                zones: vec!["a".into(), "b".into()],
+            }]),
+            CloudCall::Rent(rental) => {
+                if let Some(names) = self.rented.get(&rental.bid) {
+                    return CloudReply::Rented(names.clone());
+                }
+                let alike = |m: &&Machine| m.zone == rental.zone && m.spot == rental.spot;
+                let there = self.machines.values().filter(alike).count() as u32;
+                let count = rental.count.min(self.pool.saturating_sub(there));
+                if count == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let mut names = Vec::new();
+                for _ in 0..count {
+                    let name = format!("host-{:06}", self.next_machine);
+                    self.next_machine += 1;
+                    self.machines.insert(
+                        name.clone(),
+                        Machine {
+                            name: name.clone(),
+                            endpoint: name.clone(),
+                            flavor: rental.flavor.clone(),
+                            zone: rental.zone.clone(),
+                            spot: rental.spot,
+                            status: MachineStatus::Starting,
+                            age_s: self.now,
+                        },
+                    );
+                    let boot = 3.0 + self.rng.random::<f64>() * 4.0;
+                    self.after(boot, What::Wake(name.clone()));
+                    names.push(name);
+                }
+                self.rented.insert(rental.bid.clone(), names.clone());
+                CloudReply::Rented(names)
+            }
+            CloudCall::Delete(names) => {
+                for name in names {
+                    let busy = |w: &Worker| w.running().next().is_some();
+                    self.deleted_busy += u32::from(self.workers.get(name).is_some_and(busy));
+                    self.machines.remove(name);
+                    self.workers.remove(name);
+                }
+                CloudReply::Deleted
+            }
+            CloudCall::List(from) => {
+                let machines = self
+                    .machines
+                    .values()
+                    .filter(|m| from.as_ref().is_none_or(|from| m.name > *from))
+                    .map(|m| Machine {
+                        age_s: self.now - m.age_s,
+                        ..m.clone()
+                    })
+                    .collect();
+                CloudReply::Page(machines, false)
+            }
+        }
+    }
+
+    /// Names of the machines of a zone.
+    pub fn machines_in(&self, zone: &str, spot: bool) -> BTreeSet<String> {
+        let there = self
+            .machines
+            .values()
+            .filter(|m| m.zone == zone && m.spot == spot);
+        there.map(|m| m.name.clone()).collect()
+    }
+
+    /// Whether a machine is still rented.
+    pub fn has_machine(&self, name: &str) -> bool {
+        self.machines.contains_key(name)
+    }
+
+    pub fn machines(&self) -> usize {
+        self.machines.len()
+    }
+}
--- /dev/null
+++ b/tests/world/store.rs
@@ -0,0 +1,206 @@
+//! The state service.
+
+use super::*;
+
+#[derive(Default)]
+pub(super) struct Store {
+    pub(super) revision: u64,
+    pub(super) keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub(super) holds: BTreeMap<u64, (f64, f64)>,
+    pub(super) next_hold: u64,
+    pub(super) log: Vec<(u64, Event)>,
+    pub(super) follows: Vec<(usize, u64, u64, String, u64, f64)>,
+    pub(super) out: bool,
+}
+
+impl Store {
+    pub(super) fn change(&mut self, writes: &[Write]) -> u64 {
+        self.revision += 1;
+        let stamp = self.revision;
+        for write in writes {
+            match write {
+                Write::Set { key, value, hold } => {
+                    self.keys.insert(key.clone(), (value.clone(), stamp, *hold));
+                    let event = Event::Set {
+                        key: key.clone(),
+                        value: value.clone(),
+                        stamp,
+                    };
+                    self.log.push((stamp, event));
+                }
+                Write::Remove { key } => {
+                    if self.keys.remove(key).is_some() {
+                        self.log.push((
+                            stamp,
+                            Event::Remove {
+                                key: key.clone(),
+                                stamp,
+                            },
+                        ));
+                    }
+                }
+            }
+        }
+        stamp
+    }
+
+    pub(super) fn txn(&mut self, txn: &Txn) -> StoreReply {
+        for write in &txn.writes {
+            if let Write::Set {
+                hold: Some(hold), ..
+            } = write
+                && !self.holds.contains_key(hold)
+            {
+                return StoreReply::Bad;
+            }
+        }
+        let stamp_of = |key: &String| self.keys.get(key).map_or(0, |(_, stamp, _)| *stamp);
+        let failed: Vec<String> = txn
+            .when
+            .iter()
+            .filter(|c| stamp_of(&c.key) != c.stamp)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return StoreReply::Conflict(failed);
+        }
+        if txn.writes.is_empty() {
+            return StoreReply::Committed(self.revision);
+        }
+        StoreReply::Committed(self.change(&txn.writes))
+    }
+
+    pub(super) fn end_hold(&mut self, hold: u64) {
+        self.holds.remove(&hold);
+        let keys: Vec<Write> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, h))| *h == Some(hold))
+            .map(|(key, _)| Write::remove(key.clone()))
+            .collect();
+        if !keys.is_empty() {
+            self.change(&keys);
+        }
+    }
+
+    pub(super) fn expire(&mut self, now: f64) {
+        if self.out {
+            return;
+        }
+        let over: Vec<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, (until, _))| now > *until)
+            .map(|(hold, _)| *hold)
+            .collect();
+        for hold in over {
+            self.end_hold(hold);
+        }
+    }
+
+    pub(super) fn events(&self, under: &str, from: u64) -> Vec<Event> {
+        self.log
+            .iter()
+            .filter(|(stamp, event)| {
+                let (Event::Set { key, .. } | Event::Remove { key, .. }) = event;
+                *stamp > from && key.starts_with(under)
+            })
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+
+    pub(super) fn call(&mut self, call: &StoreCall, now: f64) -> StoreReply {
+        if self.out {
+            return StoreReply::Refused;
+        }
+        match call {
+            StoreCall::Get(key) => match self.keys.get(key) {
+                Some((value, stamp, hold)) => StoreReply::Found(Item {
+                    key: key.clone(),
+                    value: value.clone(),
+                    stamp: *stamp,
+                    hold: *hold,
+                }),
+                None => StoreReply::Missing,
+            },
+            StoreCall::List { under, from } => {
+                // Pages of three, so that paging is used.
+                let mut items: Vec<Item> = self
+                    .keys
+                    .iter()
+                    .filter(|(key, _)| {
+                        key.starts_with(under.as_str()) && from.as_ref().is_none_or(|f| *key > f)
+                    })
+                    .map(|(key, (value, stamp, hold))| Item {
+                        key: key.clone(),
+                        value: value.clone(),
+                        stamp: *stamp,
+                        hold: *hold,
+                    })
+                    .collect();
+                let more = items.len() > 3;
+                items.truncate(3);
+                StoreReply::Page(items, more, self.revision)
+            }
+            StoreCall::Txn(txn) => self.txn(txn),
+            StoreCall::Grant(life_ms) => {
+                self.next_hold += 1;
+                let life_s = *life_ms as f64 / 1000.0;
+                self.holds.insert(self.next_hold, (now + life_s, life_s));
+                StoreReply::Granted(self.next_hold)
+            }
+            StoreCall::Renew(hold) => match self.holds.get_mut(hold) {
+                Some((until, life_s)) => {
+                    *until = now + *life_s;
+                    StoreReply::Ok
+                }
+                None => StoreReply::Gone,
+            },
+            StoreCall::Drop(hold) => {
+                self.end_hold(*hold);
+                StoreReply::Ok
+            }
+            StoreCall::Follow { .. } => unreachable!("follows are held by the world"),
+        }
+    }
+}
+
+impl World {
+    pub(super) fn store_call(&mut self, i: usize, life: u64, tag: u64, call: StoreCall) {
+        if let StoreCall::Follow {
+            under,
+            from,
+            wait_ms,
+        } = call
+        {
+            if self.lives[i] == life {
+                let until = self.now + wait_ms as f64 / 1000.0;
+                self.store.follows.push((i, life, tag, under, from, until));
+            }
+            return;
+        }
+        let reply = self.store.call(&call, self.now);
+        self.deliver(
+            0.003 + self.weather.slow_s,
+            What::StoreBack(i, life, tag, reply),
+        );
+    }
+
+    pub(super) fn answer_follows(&mut self) {
+        if self.store.out {
+            return;
+        }
+        let mut kept = Vec::new();
+        for follow in std::mem::take(&mut self.store.follows) {
+            let (i, life, tag, under, from, until) = &follow;
+            let events = self.store.events(under, *from);
+            if events.is_empty() && self.now < *until {
+                kept.push(follow);
+            } else {
+                let reply = StoreReply::Events(events, self.store.revision);
+                self.after(0.003, What::StoreBack(*i, *life, *tag, reply));
+            }
+        }
+        self.store.follows = kept;
+    }
+}
--- /dev/null
+++ b/tests/world/troubles.rs
@@ -0,0 +1,191 @@
+//! The network and the troubles.
+
+use super::*;
+
+/// What may go wrong, as chances for each message.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Weather {
+    /// A request is carried out but its answer is lost.
+    pub lost: f64,
+    /// A request is carried out long after its sender gave up.
+    pub late: f64,
+    /// A copy of a report comes late, by seconds to well over a lease.
+    pub copies: f64,
+    /// A request that was carried out comes once more, by seconds to well over a lease later.
+    pub repeats: f64,
+    /// Seconds that the state service takes for an answer, beyond the usual.
+    pub slow_s: f64,
+}
+
+/// A zone that is cut off from everything, with the controllers in it.
+pub(super) struct Cut {
+    pub(super) zone: &'static str,
+    pub(super) nodes: Vec<usize>,
+    pub(super) until: f64,
+}
+
+impl World {
+    pub fn crash(&mut self, node: usize, at: f64, back: f64) {
+        self.at(at, What::Crash(node));
+        self.at(back, What::Restart(node));
+    }
+
+    pub fn outage(&mut self, from: f64, to: f64) {
+        self.at(from, What::Outage(true));
+        self.at(to, What::Outage(false));
+    }
+
+    /// Whether the cut is between a node and a zone.
+    pub(super) fn is_cut(&self, node: usize, zone: &str) -> bool {
+        let cut = self.cut.as_ref().filter(|cut| self.now < cut.until);
+        cut.is_some_and(|cut| cut.nodes.contains(&node) != (cut.zone == zone))
+    }
+
+    /// Whether a node is within the zone that is cut off.
+    pub(super) fn is_inside(&self, node: usize) -> bool {
+        let cut = self.cut.as_ref().filter(|cut| self.now < cut.until);
+        cut.is_some_and(|cut| cut.nodes.contains(&node))
+    }
+
+    /// A request on its way: usually soon there, at times long after its sender gave up.
+    pub(super) fn send(&mut self, what: What) {
+        if self.weather.repeats > 0.0 && self.rng.random::<f64>() < self.weather.repeats {
+            // Whoever asked has its answer already, and takes no notice of another.
+            let later = 1.0 + self.rng.random::<f64>() * 3.0 * LEASE_S;
+            self.after(later, what.clone());
+        }
+        let late = self.rng.random::<f64>() < self.weather.late;
+        let delay = if late {
+            2.0 + self.rng.random::<f64>() * 20.0
+        } else {
+            0.003
+        };
+        self.after(delay, what);
+    }
+
+    /// An answer on its way, which may get lost.
+    pub(super) fn deliver(&mut self, delay: f64, what: What) {
+        if self.rng.random::<f64>() >= self.weather.lost {
+            self.after(delay, what);
+        } else if let What::UserBack(user, ask, ..) = what {
+            self.after(5.0, What::UserBack(user, ask, 599, Vec::new()));
+        }
+    }
+
+    /// Takes a machine away, as the cloud does with spot machines. False: there is none.
+    pub fn take_machine(&mut self) -> bool {
+        let Some(name) = self.workers.keys().next().cloned() else {
+            return false;
+        };
+        self.machines.remove(&name);
+        self.workers.remove(&name);
+        true
+    }
+
+    /// Cuts the leader off from all but the state service. False: nobody leads.
+    pub fn mute_leader(&mut self, for_s: f64) -> bool {
+        match self.leader() {
+            Some(leader) => {
+                self.muted[leader] = self.now + for_s;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Cuts the leader off from the state service and the other nodes, not from its workers. False:
+    /// nobody leads.
+    pub fn isolate_leader(&mut self, for_s: f64) -> bool {
+        match self.leader() {
+            Some(leader) => {
+                self.alone[leader] = self.now + for_s;
+                // Watches that are open stay open, and bring nothing.
+                self.store.follows.retain(|f| f.0 != leader);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// The leader stands still for a while; its clocks run on. False: nobody leads.
+    pub fn freeze_leader(&mut self, for_s: f64) -> bool {
+        let leader = self.leader();
+        if let Some(leader) = leader {
+            self.frozen[leader] = self.now + for_s;
+        }
+        leader.is_some()
+    }
+
+    /// Cuts a zone off from everything, with the leader inside or outside, and as many of the other
+    /// nodes as are said. False: nobody leads.
+    pub fn cut_zone(
+        &mut self,
+        zone: &'static str,
+        leader: bool,
+        others: usize,
+        for_s: f64,
+    ) -> bool {
+        let Some(first) = self.leader() else {
+            return false;
+        };
+        let rest = (0..self.nodes.len()).filter(|i| *i != first).take(others);
+        let nodes = rest.chain(leader.then_some(first)).collect();
+        let until = self.now + for_s;
+        self.cut = Some(Cut { zone, nodes, until });
+        // Watches that are open stay open, and bring nothing.
+        let inside: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.is_inside(*i))
+            .collect();
+        self.store.follows.retain(|f| !inside.contains(&f.0));
+        true
+    }
+
+    /// Nodes refuse one another's connections.
+    pub fn refuse_peers(&mut self, for_s: f64) {
+        self.peers_refuse = self.now + for_s;
+    }
+
+    /// Restarts the leader, which is back after a moment. False: nobody leads.
+    pub fn restart_leader(&mut self, back_s: f64) -> bool {
+        let leader = self.leader();
+        if let Some(leader) = leader {
+            let now = self.now;
+            self.crash(leader, now, now + back_s);
+        }
+        leader.is_some()
+    }
+
+    /// Keeps all answers and commands from a machine, whose reports still arrive.
+    pub fn unreach_machine(&mut self, nth: usize, for_s: f64) -> Option<String> {
+        let until = self.now + for_s;
+        let worker = self.workers.values_mut().nth(nth)?;
+        worker.unreached_until = until;
+        Some(worker.name.clone())
+    }
+
+    /// Restarts a machine, which is back at once and empty: in a new session, or as one that has
+    /// forgotten even that there were any.
+    pub fn reboot_machine(&mut self, nth: usize, forgets: bool) {
+        let now = self.now;
+        let Some(worker) = self.workers.values_mut().nth(nth) else {
+            return;
+        };
+        worker.tasks.clear();
+        worker.sent = None;
+        worker.lease_from = now;
+        worker.next_report = now + 0.2;
+        if forgets {
+            (worker.tenure, worker.tick, worker.epoch) = (1, 0, 0);
+        } else {
+            worker.tenure += 1;
+        }
+    }
+
+    /// Makes a machine deaf and mute for a while.
+    pub fn cut_machine(&mut self, nth: usize, for_s: f64) -> Option<String> {
+        let until = self.now + for_s;
+        let worker = self.workers.values_mut().nth(nth)?;
+        worker.deaf_until = until;
+        Some(worker.name.clone())
+    }
+}
--- /dev/null
+++ b/tests/world/workers.rs
@@ -0,0 +1,400 @@
+//! Workers and the tasks on them.
+
+use super::*;
+
+#[derive(Debug, Clone)]
+pub(super) struct Task {
+    pub(super) attempt: u64,
+    pub(super) status: StepStatus,
+    pub(super) cause: Option<Cause>,
+    pub(super) until: f64,
+}
+
+pub(super) struct Worker {
+    pub(super) name: String,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+    pub(super) cpus: f64,
+    pub(super) tenure: u64,
+    pub(super) tick: u64,
+    pub(super) epoch: u64,
+    pub(super) lease_from: f64,
+    pub(super) tasks: BTreeMap<String, Vec<Task>>,
+    pub(super) at: usize,
+    pub(super) sent: Option<(u64, f64)>,
+    pub(super) next_report: f64,
+    pub(super) deaf_until: f64,
+    /// Its reports arrive, but no answer or command reaches it.
+    pub(super) unreached_until: f64,
+}
+
+impl Worker {
+    pub(super) fn runs(&self, step: &str) -> bool {
+        let tasks = self.tasks.get(step).into_iter().flatten();
+        tasks.into_iter().any(|t| t.status != StepStatus::Exited)
+    }
+
+    pub(super) fn running(&self) -> impl Iterator<Item = (&str, &Task)> {
+        self.tasks.iter().flat_map(|(step, tasks)| {
+            tasks
+                .iter()
+                .filter(|t| t.status != StepStatus::Exited)
+                .map(move |t| (step.as_str(), t))
+        })
+    }
+
+    pub(super) fn report(&mut self) -> Report {
+        self.tick += 1;
+        Report {
+            host: self.name.clone(),
+            endpoint: self.name.clone(),
+            flavor: "f".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            tenure: self.tenure,
+            tick: self.tick,
+            epoch: self.epoch,
+            warning_s: None,
+            steps: self
+                .tasks
+                .iter()
+                .flat_map(|(step, tasks)| {
+                    tasks.iter().map(|t| StepReport {
+                        step: step.clone(),
+                        attempt: t.attempt,
+                        status: t.status,
+                        cause: t.cause,
+                    })
+                })
+                .collect(),
+        }
+    }
+}
+
+impl World {
+    pub(super) fn wake(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.status == MachineStatus::Starting {
+            machine.status = MachineStatus::Running;
+            let worker = Worker {
+                name: name.to_owned(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                cpus: 8.0,
+                tenure: 1,
+                tick: 0,
+                epoch: 0,
+                lease_from: self.now,
+                tasks: BTreeMap::new(),
+                at: self.rng.random_range(0..self.nodes.len()),
+                sent: None,
+                next_report: self.now,
+                deaf_until: 0.0,
+                unreached_until: 0.0,
+            };
+            self.workers.insert(name.to_owned(), worker);
+        }
+        let now = self.now;
+        let nodes = self.nodes.len();
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for tasks in worker.tasks.values_mut() {
+            for task in tasks.iter_mut() {
+                if task.status == StepStatus::Running && now >= task.until {
+                    task.status = StepStatus::Exited;
+                    task.cause = Some(Cause::Done);
+                    worker.next_report = now;
+                }
+            }
+        }
+        for (step, tasks) in &worker.tasks {
+            if tasks.iter().any(|t| t.cause == Some(Cause::Done)) {
+                self.done.insert(step.clone());
+            }
+        }
+        if worker.sent.is_some_and(|(_, at)| now - at > 4.0) {
+            worker.sent = None;
+            worker.at = (worker.at + 1) % nodes;
+            worker.next_report = now + 1.0;
+        }
+        if worker.sent.is_none() && now >= worker.next_report {
+            let report = worker.report();
+            worker.sent = Some((report.tick, now));
+            let (at, deaf) = (worker.at, now < worker.deaf_until);
+            if !deaf {
+                if self.rng.random::<f64>() < self.weather.copies {
+                    let late = 1.0 + self.rng.random::<f64>() * 3.0 * LEASE_S;
+                    self.after(late, What::CopyAt(at, Box::new(report.clone())));
+                }
+                self.after(0.003, What::ReportAt(at, name.to_owned(), Box::new(report)));
+            }
+        }
+        self.after(0.25, What::Wake(name.to_owned()));
+    }
+
+    pub(super) fn report_answered(
+        &mut self,
+        name: &str,
+        key: (u64, u64),
+        status: u16,
+        body: &[u8],
+    ) {
+        let now = self.now;
+        let nodes = self.nodes.len();
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some((tick, sent_at)) = worker.sent else {
+            return;
+        };
+        if (worker.tenure, tick) != key || now < worker.deaf_until.max(worker.unreached_until) {
+            return;
+        }
+        let (at, zone) = (worker.at, worker.zone.clone());
+        if self.is_cut(at, &zone) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.sent = None;
+        worker.next_report = now + 2.0;
+        match status {
+            200 => {
+                let commands: Commands = cbor::decode(body).expect("an answer to a report");
+                if commands.epoch < worker.epoch {
+                    return;
+                }
+                if commands.epoch > worker.epoch {
+                    worker.next_report = now + 0.5;
+                }
+                worker.epoch = commands.epoch;
+                worker.lease_from = sent_at;
+                self.execute(name, &commands);
+            }
+            421 => {
+                let redirect: Redirect = cbor::decode(body).expect("a redirect");
+                match redirect
+                    .foreman
+                    .as_deref()
+                    .map(|label| label[1..].parse::<usize>())
+                {
+                    Some(Ok(node)) if node != worker.at => {
+                        worker.at = node;
+                        worker.next_report = now;
+                    }
+                    _ => {
+                        worker.at = (worker.at + 1) % nodes;
+                        worker.next_report = now + 1.0;
+                    }
+                }
+            }
+            _ => {
+                worker.at = (worker.at + 1) % nodes;
+                worker.next_report = now + 1.0;
+            }
+        }
+    }
+
+    pub(super) fn worker_call(
+        &mut self,
+        i: usize,
+        life: u64,
+        tag: u64,
+        host: &str,
+        call: &WorkerCall,
+    ) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(host) else {
+            return;
+        };
+        if now < worker.unreached_until {
+            return;
+        }
+        let zone = worker.zone.clone();
+        let cut = self.is_cut(i, &zone);
+        let Some(worker) = self.workers.get_mut(host) else {
+            return;
+        };
+        if now < worker.deaf_until || cut {
+            // Held, and delivered after the interruption.
+            let again = What::WorkerAt(i, life, tag, host.to_owned(), call.clone());
+            let back = self
+                .cut
+                .as_ref()
+                .filter(|_| cut)
+                .map_or(0.0, |cut| cut.until);
+            let until = worker.deaf_until.max(back);
+            self.at(until, again);
+            return;
+        }
+        let reply = match call {
+            WorkerCall::Commands(commands) => {
+                if commands.epoch < worker.epoch || commands.tenure != Some(worker.tenure) {
+                    WorkerReply::Mismatch(Box::new(worker.report()))
+                } else {
+                    if commands.epoch > worker.epoch {
+                        worker.next_report = now;
+                    }
+                    worker.epoch = commands.epoch;
+                    let commands = commands.clone();
+                    self.execute(host, &commands);
+                    let worker = self.workers.get_mut(host).expect("still there");
+                    WorkerReply::Done(Box::new(worker.report()))
+                }
+            }
+        };
+        self.deliver(0.003, What::WorkerBack(i, life, tag, reply));
+    }
+
+    pub(super) fn execute(&mut self, name: &str, commands: &Commands) {
+        for order in &commands.orders {
+            match order.verb {
+                Verb::Start => self.start(name, &order.step, order.attempt),
+                Verb::Halt => {
+                    let worker = self.workers.get_mut(name).expect("a worker");
+                    for task in worker.tasks.get_mut(&order.step).into_iter().flatten() {
+                        if task.attempt == order.attempt && task.status == StepStatus::Running {
+                            task.status = StepStatus::Exited;
+                            task.cause = Some(Cause::Stopped);
+                        }
+                    }
+                }
+                Verb::Clear => {
+                    let worker = self.workers.get_mut(name).expect("a worker");
+                    if let Some(tasks) = worker.tasks.get_mut(&order.step) {
+                        tasks.retain(|t| {
+                            t.attempt != order.attempt || t.status != StepStatus::Exited
+                        });
+                        if tasks.is_empty() {
+                            worker.tasks.remove(&order.step);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn start(&mut self, name: &str, step: &str, attempt: u64) {
+        let now = self.now;
+        let job = step.split('/').next().unwrap_or("").to_owned();
+        let Some(user) = self.users.iter().find(|u| u.id == job) else {
+            self.broken.push(format!("{step}: no such job"));
+            return;
+        };
+        let (run_s, standing) = (user.run_s, user.standing);
+        if user.told_cancelled.is_some_and(|at| now > at + CANCEL_S) {
+            self.broken
+                .push(format!("{now}: {step} starts after its cancellation"));
+        }
+        let limit = user.tasks.div_ceil(2);
+        let worker = &self.workers[name];
+        let tasks = worker.tasks.get(step).cloned().unwrap_or_default();
+        if tasks.iter().any(|t| t.attempt == attempt) {
+            return;
+        }
+        let busy = tasks.iter().any(|t| t.status == StepStatus::Running);
+        let used = worker.running().count() as f64 * 2.0;
+        let full = used + 2.0 > worker.cpus;
+        let zone = worker.zone.clone();
+        let refused = if self.done.contains(step) {
+            // Its result is kept: it exits at once.
+            Some(Cause::Done)
+        } else if busy {
+            Some(Cause::Busy)
+        } else if full {
+            Some(Cause::Full)
+        } else {
+            None
+        };
+        if refused.is_none() {
+            self.starts += 1;
+            if let Some(user) = self.users.iter_mut().find(|u| u.id == job) {
+                user.begun.get_or_insert(now);
+            }
+            let elsewhere: Vec<&Worker> = self
+                .workers
+                .values()
+                .filter(|w| w.name != name && w.runs(step))
+                .collect();
+            if let Some(other) = elsewhere.first() {
+                self.broken.push(format!(
+                    "{now}: {step} starts on {name} while on {}",
+                    other.name
+                ));
+            }
+            let in_zone = |world: &World| {
+                let there = world.workers.values().filter(|w| w.zone == zone);
+                let tasks = there.flat_map(|w| w.running());
+                tasks
+                    .filter(|(s, _)| s.split('/').next() == Some(job.as_str()))
+                    .count() as u32
+            };
+            if standing && in_zone(self) >= limit {
+                self.broken
+                    .push(format!("{now}: {step} is one too many in {zone}"));
+            }
+            let all = |world: &World| {
+                let tasks = world.workers.values().flat_map(|w| w.running());
+                tasks.count() as f64
+            };
+            if self.pool <= 3 && 2.0 * (all(self) + 1.0) > 40.0 {
+                self.broken
+                    .push(format!("{now}: {step} is over the team's limit"));
+            }
+        }
+        let until = if standing { f64::INFINITY } else { now + run_s };
+        let status = if refused.is_some() {
+            StepStatus::Exited
+        } else {
+            StepStatus::Running
+        };
+        let worker = self.workers.get_mut(name).expect("a worker");
+        worker.next_report = worker.next_report.min(now + 0.5);
+        worker.tasks.entry(step.to_owned()).or_default().push(Task {
+            attempt,
+            status,
+            cause: refused,
+            until,
+        });
+    }
+
+    /// Ends the sessions whose lease is over, and watches the cancelled.
+    pub(super) fn kill_expired(&mut self) {
+        let now = self.now;
+        // Of thousands of machines, not at every event.
+        if now < self.kill_at {
+            return;
+        }
+        self.kill_at = now + 0.01;
+        for worker in self.workers.values_mut() {
+            if now > worker.lease_from + LEASE_S {
+                worker.tasks.clear();
+                worker.tenure += 1;
+                worker.lease_from = now;
+                worker.sent = None;
+                worker.next_report = now;
+            }
+        }
+        for user in &mut self.users {
+            if let Some(at) = user.told_cancelled
+                && now > at + CANCEL_S
+            {
+                let there = |w: &Worker| w.running().any(|(s, _)| s.starts_with(&user.id));
+                if self.workers.values().any(there) {
+                    self.broken
+                        .push(format!("{now}: {} runs after its cancellation", user.id));
+                    user.told_cancelled = Some(f64::INFINITY);
+                }
+            }
+        }
+    }
+
+    /// Starts that a machine was sent while no answer reached it are none; what it runs now.
+    pub fn tasks_on(&self, name: &str) -> usize {
+        self.workers.get(name).map_or(0, |w| w.running().count())
+    }
+}
