--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -3,6 +3,8 @@
 
 mod world;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
 use world::{Odd, Weather, World};
 
@@ -445,3 +447,94 @@
         }),
     ]);
 }
+
+/// All meetings at once, in an order that the seed gives; the seeds are fixed.
+#[test]
+fn storms_of_meetings() {
+    for seed in 0..16u64 {
+        let nodes = if seed % 2 == 0 { 3 } else { 5 };
+        let large = seed % 4 == 3;
+        let mut world = World::sized(seed, nodes, if large { 12 } else { 3 });
+        crowd(&mut world);
+        let mut chance = SmallRng::seed_from_u64(seed);
+        for n in 40..60 {
+            let at = 10.0 + chance.random::<f64>() * 70.0;
+            let standing = n % 10 == 0;
+            let cancel = (n % 3 == 0).then_some(at + chance.random::<f64>() * 40.0);
+            let zone = [None, None, Some("a"), Some("b")][n as usize % 4 * usize::from(n % 5 < 2)];
+            let tasks = chance.random_range(1..4);
+            world.user_in(n, at, (tasks, 9.0, standing, n % 2 == 0), zone, cancel);
+            if let Some(user) = world.users.last_mut() {
+                user.apart_s = chance.random::<f64>() * 9.0;
+            }
+        }
+        let some = |chance: &mut SmallRng, of: f64| {
+            let there = chance.random::<f64>() < 0.4;
+            if there {
+                chance.random::<f64>() * of
+            } else {
+                0.0
+            }
+        };
+        world.weather = Weather {
+            lost: some(&mut chance, 0.04),
+            late: some(&mut chance, 0.04),
+            copies: some(&mut chance, 0.5),
+            repeats: some(&mut chance, 0.1),
+            slow_s: some(&mut chance, 0.15),
+            late_writes: some(&mut chance, 0.2),
+            held: some(&mut chance, 0.2),
+            cancels_at_end: some(&mut chance, 0.4),
+            asks_at_end: some(&mut chance, 0.4),
+        };
+        to(&mut world, 0.0);
+        for _ in 0..14 {
+            let next = world.now + chance.random::<f64>() * 9.0;
+            world.run(next);
+            let nth = chance.random_range(0..8);
+            // Moments, less than a lease, more than one, more than a cancellation takes.
+            let scale = [1.0, LEASE_S, 1.5 * LEASE_S, 1.4 * CANCEL_S][chance.random_range(0..4)];
+            let for_s = (0.1 + chance.random::<f64>()) * scale;
+            match chance.random_range(0..18) {
+                0 => drop(world.restart_leader(for_s.min(15.0))),
+                1 => drop(world.refuse_leader(for_s)),
+                2 => drop(world.isolate_leader(for_s)),
+                3 => drop(world.freeze_leader(for_s)),
+                4 => drop(world.mute_leader(for_s)),
+                5 => drop(world.cut_machine(nth, for_s)),
+                6 => drop(world.unreach_machine(nth, for_s)),
+                7 => drop(world.mute_machine(nth, for_s)),
+                8 => world.reboot_machine(nth, false),
+                9 => drop(world.cut_zone("b", nth % 2 == 0, nth % 3, for_s)),
+                10 => drop(world.lose_machines("a", 1 + nth % 2)),
+                11 => world.refuse_peers(for_s),
+                12 => drop(world.hang_watch(for_s)),
+                13 => world.hang_listings(for_s),
+                14 => {
+                    let now = world.now;
+                    for node in 0..nodes {
+                        let back = now + 0.2 + for_s.min(20.0) + 0.1 * node as f64;
+                        world.crash(node, now, back);
+                    }
+                }
+                15 => {
+                    world.odd_requests();
+                    world.odd_repeats();
+                }
+                16 => {
+                    let now = world.now;
+                    world.outage(now, now + for_s);
+                    let quiet = now + for_s;
+                    world.run(now + 0.5 * for_s);
+                    world.cancel_now(1, 1, 5.0);
+                    world.run(quiet + 0.01);
+                }
+                _ => drop(world.cancel_now(1 + nth % 3, nth % 3, for_s.min(LEASE_S - 1.0))),
+            }
+        }
+        world.weather = Weather::default();
+        let end = world.now + 1.5 * CANCEL_S + 150.0;
+        world.run(end);
+        check(&world, &format!("seed {seed}"));
+    }
+}
