--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -116,6 +116,19 @@
                 to(w, 62.0);
             },
         ),
+        (
+            "its watch hangs, and listings do, while its lease is renewed",
+            |w| {
+                assert!(w.hang_watch(CANCEL_S + 18.0));
+                w.hang_listings(CANCEL_S + 18.0);
+                w.refuse_peers(CANCEL_S + 18.0);
+                to(w, 3.0);
+                assert!(w.cancel_now(8, 0, 0.0) >= 4);
+                to(w, 12.0);
+                assert!(told(w, 3.0, 12.0) >= 4, "confirmed while it saw nothing");
+                to(w, CANCEL_S + 20.0);
+            },
+        ),
         ("its watch hangs, while its lease is renewed", |w| {
             let reigns = w.reigns();
             assert!(w.hang_watch(60.0));
@@ -123,8 +136,12 @@
             w.refuse_peers(60.0);
             to(w, 3.0);
             assert!(w.cancel_now(8, 0, 0.0) >= 4);
+            // Jobs may have been cancelled of which it doesn't know.
+            to(w, 6.0);
+            let starts = w.starts;
             to(w, 12.0);
             assert!(told(w, 3.0, 12.0) >= 4, "confirmed while the watch hung");
+            assert_eq!(w.starts, starts, "no starts meanwhile");
             assert_eq!(w.reigns(), reigns, "it still leads then");
             to(w, 62.0);
         }),
