--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -121,6 +121,8 @@
             |w| {
                 assert!(w.hang_watch(CANCEL_S + 18.0));
                 w.hang_listings(CANCEL_S + 18.0);
+                // Nor do users who ask bring it any word.
+                assert!(w.shun_leader(CANCEL_S + 18.0));
                 w.refuse_peers(CANCEL_S + 18.0);
                 to(w, 3.0);
                 assert!(w.cancel_now(8, 0, 0.0) >= 4);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -102,6 +102,8 @@
     refused: Vec<f64>,
     /// Nodes whose watch on the open jobs gets no answers, until then.
     hung_watch: Vec<f64>,
+    /// Nodes that the load balancer passes over, until then.
+    shunned: Vec<f64>,
     /// Listings get no answers until then.
     hung_listings: f64,
     /// Each node's newest transaction that was carried out.
@@ -171,6 +173,7 @@
             cut: None,
             refused: vec![0.0; nodes],
             hung_watch: vec![0.0; nodes],
+            shunned: vec![0.0; nodes],
             hung_listings: 0.0,
             newest_txn: BTreeMap::new(),
             peers_refuse: 0.0,
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -170,8 +170,8 @@
         true
     }
 
-    /// The state service refuses the leader alone: its calls get 503, its open watches wait. Returns
-    /// the leader. False: nobody leads.
+    /// The state service refuses the leader alone: its calls get 503, its open watches wait.
+    /// False: nobody leads.
     pub fn refuse_leader(&mut self, for_s: f64) -> bool {
         let leader = self.leader();
         if let Some(leader) = leader {
@@ -189,6 +189,15 @@
         leader.is_some()
     }
 
+    /// No user comes to the leader.
+    pub fn shun_leader(&mut self, for_s: f64) -> bool {
+        let leader = self.leader();
+        if let Some(leader) = leader {
+            self.shunned[leader] = self.now + for_s;
+        }
+        leader.is_some()
+    }
+
     /// Listings get no answers; all other calls do.
     pub fn hang_listings(&mut self, for_s: f64) {
         self.hung_listings = self.now + for_s;
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -186,7 +186,10 @@
         } else {
             Ask::Poll
         };
-        let node = self.rng.random_range(0..self.nodes.len());
+        let mut node = self.rng.random_range(0..self.nodes.len());
+        if self.now < self.shunned[node] {
+            node = (node + 1) % self.nodes.len();
+        }
         let asked = Asked {
             what: ask,
             at: self.now,
