--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -60,7 +60,10 @@
             world.weather = Weather::default();
             let end = world.now.max(BEGIN + 60.0) + 130.0;
             world.run(end);
-            check(&world, &format!("{name}, {nodes} controllers, seed {seed}"));
+            let name = format!("{name}, {nodes} controllers, seed {seed}");
+            // However soon it would have been ended.
+            assert_eq!(world.counts.starts_after_cancel, 0, "{name}");
+            check(&world, &name);
         }
     }
 }
