--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -21,6 +21,7 @@
     assert_eq!(world.broken, Vec::<String>::new(), "{name}");
     assert_eq!(world.unfinished(), Vec::<&str>::new(), "{name}");
     assert_eq!(world.unanswered(ANSWERED_S), Vec::<&str>::new(), "{name}");
+    assert_eq!(world.largest_late(), Vec::<&str>::new(), "{name}");
 }
 
 /// Services, long arrays and short ones, up to the team's limit of twenty tasks.
@@ -57,7 +58,8 @@
             crowd(&mut world);
             to(&mut world, 0.0);
             meeting(&mut world);
-            world.weather = Weather::default();
+            let calm = world.now.max(BEGIN + 60.0);
+            world.calm_down(calm);
             let end = world.now.max(BEGIN + 60.0) + 130.0;
             world.run(end);
             let name = format!("{name}, {nodes} controllers, seed {seed}");
@@ -554,7 +556,8 @@
                 _ => drop(world.cancel_now(1 + nth % 3, nth % 3, for_s.min(LEASE_S - 1.0))),
             }
         }
-        world.weather = Weather::default();
+        let calm = world.now + 1.5 * CANCEL_S;
+        world.calm_down(calm);
         let end = world.now + 1.5 * CANCEL_S + 150.0;
         world.run(end);
         check(&world, &format!("seed {seed}"));
--- a/tests/world/checks.rs
+++ b/tests/world/checks.rs
@@ -66,6 +66,72 @@
         tasks.filter(|(step, _)| ids.contains(job_of(step))).count()
     }
 
+    /// All troubles end: from here on no job may wait for long beside room.
+    pub fn calm_down(&mut self, at: f64) {
+        self.weather = Weather::default();
+        self.quiet_at = at;
+    }
+
+    /// Whether a task of this job could start now: a machine that fits has room, its team is under its
+    /// limit, and of a job that is spread the machine's zone has not too many yet.
+    fn has_room_for(&self, user: &User) -> bool {
+        if self.pool <= 3 && self.used_cpus() + 2.0 > 40.0 {
+            return false;
+        }
+        let limit = user.tasks.div_ceil(2) as usize;
+        let in_zone = |zone: &str| {
+            let there = self.workers.values().filter(|w| w.zone == zone);
+            let tasks = there.flat_map(Worker::running);
+            tasks.filter(|(step, _)| job_of(step) == user.id).count()
+        };
+        let spread = user.standing && user.zone.is_none();
+        self.workers.values().any(|w| {
+            2.0 * w.running().count() as f64 + 2.0 <= w.cpus
+                && (user.spot || !w.spot)
+                && user.zone.is_none_or(|zone| zone == w.zone)
+                && !(spread && in_zone(&w.zone) >= limit)
+        })
+    }
+
+    /// Once all troubles are over, no job may wait for 90 s beside room that it could use.
+    pub(super) fn look_at_waiting(&mut self) {
+        let now = self.now;
+        if now < self.look_at.max(self.quiet_at) {
+            return;
+        }
+        self.look_at = now + 1.0;
+        for n in 0..self.users.len() {
+            let user = &self.users[n];
+            let over = user.told_done.is_some() || user.cancel_at.is_some_and(|at| now >= at);
+            let there = |t: u32| {
+                let step = format!("{}/{t}", user.id);
+                self.done.contains(&step) || self.workers.values().any(|w| w.runs(&step))
+            };
+            let waits = user.accepted && !over && !(0..user.tasks).all(there);
+            if !waits || !self.has_room_for(user) {
+                self.users[n].waits_since = None;
+                continue;
+            }
+            let since = *self.users[n].waits_since.get_or_insert(now);
+            if now - since > 90.0 {
+                self.broken
+                    .push(format!("{now}: {} waits beside room", self.users[n].id));
+                self.users[n].waits_since = None;
+            }
+        }
+    }
+
+    /// Jobs with the most tasks that began later than four minutes after they were submitted.
+    pub fn largest_late(&self) -> Vec<&str> {
+        let most = self.users.iter().map(|u| u.tasks).max().unwrap_or(0);
+        let late = |u: &&User| {
+            let begun = u.begun.unwrap_or(f64::INFINITY);
+            u.tasks == most && u.told_cancelled.is_none() && begun - u.submitted > 240.0
+        };
+        let largest = self.users.iter().filter(late);
+        largest.map(|u| u.id.as_str()).collect()
+    }
+
     /// Users who were told between two times that their job is cancelled.
     pub fn told_cancelled(&self, from: f64, to: f64) -> usize {
         let told = self.users.iter().filter_map(|u| u.told_cancelled);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -114,6 +114,9 @@
     pool: u32,
     pub counts: Counts,
     kill_at: f64,
+    /// When all troubles are over, and when waiting jobs are looked at next.
+    quiet_at: f64,
+    look_at: f64,
     /// Direct calls of each life of a node that wait for their answers.
     calls: BTreeMap<(usize, u64), BTreeSet<u64>>,
 }
@@ -180,6 +183,8 @@
             pool,
             counts: Counts::default(),
             kill_at: 0.0,
+            quiet_at: f64::INFINITY,
+            look_at: 0.0,
             calls: BTreeMap::new(),
         };
         for i in 0..nodes {
@@ -210,6 +215,7 @@
             self.now = time;
             self.store.expire(time);
             self.kill_expired();
+            self.look_at_waiting();
             self.step(what);
             self.answer_follows();
         }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -104,6 +104,12 @@
     pub tasks: u32,
     pub run_s: f64,
     pub standing: bool,
+    /// It may use spot machines.
+    pub spot: bool,
+    /// When it was first submitted.
+    pub submitted: f64,
+    /// Since when tasks of it have waited beside room that they could use.
+    pub waits_since: Option<f64>,
     /// Each task runs for so much longer than the one before it.
     pub apart_s: f64,
     /// The only zone that it allows.
@@ -165,6 +171,9 @@
             tasks,
             run_s,
             standing,
+            spot,
+            submitted: at,
+            waits_since: None,
             apart_s: 0.0,
             zone,
             cancel_at,
