--- /dev/null
+++ b/tests/meetings.rs
@@ -0,0 +1,447 @@
+//! Meetings of troubles: rules mostly break where two troubles meet. Each case brings its meeting about,
+//! shows that it took place, and then asks for all that holds on any other day.
+
+mod world;
+
+use std::collections::BTreeSet;
+use world::{Odd, Weather, World};
+
+/// The leases' and the cancellation's time in the world's settings.
+const LEASE_S: f64 = 10.0;
+const CANCEL_S: f64 = 30.0;
+/// For how long after all troubles a job may go without an answer.
+const ANSWERED_S: f64 = 20.0;
+/// When the troubles begin: the machines are up and the first jobs run.
+const BEGIN: f64 = 30.0;
+
+/// Nothing broken, all jobs at their end, and each answered for lately.
+fn check(world: &World, name: &str) {
+    assert_eq!(world.broken, Vec::<String>::new(), "{name}");
+    assert_eq!(world.unfinished(), Vec::<&str>::new(), "{name}");
+    assert_eq!(world.unanswered(ANSWERED_S), Vec::<&str>::new(), "{name}");
+}
+
+/// Services, long arrays and short ones, up to the team's limit of twenty tasks.
+fn crowd(world: &mut World) {
+    for n in 0..4 {
+        world.user(n, 0.5, (2, 0.0, true, false), None);
+    }
+    for n in 10..12 {
+        world.user(n, 1.0, (2, 70.0, false, n % 2 == 0), None);
+    }
+    for n in 20..34 {
+        let at = 4.0 + 6.0 * f64::from(n - 20);
+        world.user(n, at, (3, 5.0, false, n % 2 == 0), None);
+    }
+}
+
+/// Runs to `at` after the troubles' begin.
+fn to(world: &mut World, at: f64) {
+    world.run(BEGIN + at);
+}
+
+/// Confirmed cancellations between two times after the troubles' begin.
+fn told(world: &World, from: f64, to: f64) -> usize {
+    world.told_cancelled(BEGIN + from, BEGIN + to)
+}
+
+type Meeting = (&'static str, fn(&mut World));
+
+/// Plays each meeting at three and five controllers, with two seeds.
+fn play(meetings: &[Meeting]) {
+    for (name, meeting) in meetings {
+        for (nodes, seed) in [(3, 1), (3, 2), (5, 3), (5, 4)] {
+            let mut world = World::sized(seed, nodes, 3);
+            crowd(&mut world);
+            to(&mut world, 0.0);
+            meeting(&mut world);
+            world.weather = Weather::default();
+            let end = world.now.max(BEGIN + 60.0) + 130.0;
+            world.run(end);
+            check(&world, &format!("{name}, {nodes} controllers, seed {seed}"));
+        }
+    }
+}
+
+/// Who renews a worker's lease knows of every cancellation that could be due, or stops in time.
+#[test]
+fn cancellations_that_the_leader_does_not_hear_of() {
+    play(&[
+        ("refused alone, then an outage longer than cancel_s", |w| {
+            assert!(w.refuse_leader(6.0));
+            to(w, 0.1);
+            assert!(w.cancel_now(6, 0, 0.0) >= 4);
+            to(w, 1.6);
+            assert!(told(w, 0.0, 1.6) >= 2, "confirmed while it was refused");
+            let now = w.now;
+            w.outage(now, now + CANCEL_S + 8.0);
+            to(w, 50.0);
+        }),
+        ("the same, and the machines of the cancelled hang", |w| {
+            assert!(w.refuse_leader(6.0));
+            to(w, 0.1);
+            assert!(w.cancel_now(6, 4, LEASE_S - 2.0) >= 4);
+            to(w, 1.6);
+            assert!(told(w, 0.0, 1.6) >= 2, "confirmed while it was refused");
+            let now = w.now;
+            w.outage(now, now + CANCEL_S + 8.0);
+            to(w, 50.0);
+        }),
+        (
+            "the same, with copies of reports, and the leader standing still",
+            |w| {
+                w.weather.copies = 0.4;
+                w.weather.held = 0.1;
+                assert!(w.refuse_leader(6.0));
+                to(w, 0.1);
+                assert!(w.cancel_now(6, 2, 5.0) >= 4);
+                to(w, 1.6);
+                assert!(told(w, 0.0, 1.6) >= 2, "confirmed while it was refused");
+                let now = w.now;
+                w.outage(now, now + CANCEL_S + 8.0);
+                w.freeze_leader(12.0);
+                to(w, 50.0);
+            },
+        ),
+        (
+            "cut from the state service and the peers, not from workers",
+            |w| {
+                assert!(w.isolate_leader(60.0));
+                to(w, 0.5);
+                assert!(w.cancel_now(8, 2, 6.0) >= 4);
+                to(w, 20.0);
+                assert!(told(w, 0.0, 20.0) >= 4, "confirmed through the new leader");
+                to(w, 62.0);
+            },
+        ),
+        ("its watch hangs, while its lease is renewed", |w| {
+            let reigns = w.reigns();
+            assert!(w.hang_watch(60.0));
+            // Peers are no help either.
+            w.refuse_peers(60.0);
+            to(w, 3.0);
+            assert!(w.cancel_now(8, 0, 0.0) >= 4);
+            to(w, 12.0);
+            assert!(told(w, 3.0, 12.0) >= 4, "confirmed while the watch hung");
+            assert_eq!(w.reigns(), reigns, "it still leads then");
+            to(w, 62.0);
+        }),
+        ("the successor can't read its records", |w| {
+            w.hang_listings(45.0);
+            assert!(w.cancel_now(6, 0, 0.0) >= 4);
+            to(w, 0.15);
+            w.restart_leader(40.0);
+            to(w, 10.0);
+            assert!(
+                told(w, 0.0, 10.0) >= 4,
+                "confirmed while nobody could stop them"
+            );
+            to(w, 46.0);
+        }),
+        ("refused and back again and again", |w| {
+            for i in 0..6 {
+                to(w, 9.0 * f64::from(i));
+                w.refuse_leader(1.2);
+                let at = 9.0 * f64::from(i) + 0.2;
+                to(w, at);
+                w.cancel_now(1, 1, 4.0);
+                to(w, at + 1.0);
+                let now = w.now;
+                w.outage(now, now + 4.0 + f64::from(i));
+            }
+            to(w, 60.0);
+            assert!(told(w, 0.0, 60.0) >= 3);
+        }),
+        (
+            "the state service is slow, refuses the leader, then everybody",
+            |w| {
+                w.weather.slow_s = 0.15;
+                to(w, 5.0);
+                assert!(w.refuse_leader(8.0));
+                assert!(w.cancel_now(6, 0, 0.0) >= 4);
+                w.odd_repeats();
+                to(w, 8.5);
+                assert!(told(w, 5.0, 8.5) >= 2, "confirmed while it was refused");
+                let now = w.now;
+                w.outage(now, now + CANCEL_S + 5.0);
+                to(w, 20.0);
+                w.odd_repeats();
+                w.odd_requests();
+                to(w, 45.0);
+            },
+        ),
+    ]);
+}
+
+/// Leaders change, all end, or are away; machines can't be asked meanwhile.
+#[test]
+fn changes_of_leader() {
+    play(&[
+        ("tasks of a job end far apart across a change", |w| {
+            for n in 40..46 {
+                w.user(n, BEGIN + 0.1, (2 + n % 2, 4.0, false, false), None);
+                if let Some(user) = w.users.last_mut() {
+                    user.apart_s = 14.0;
+                }
+            }
+            to(w, 14.0);
+            assert!(w.half_done() >= 2, "the first tasks have ended");
+            w.restart_leader(3.0);
+            to(w, 26.0);
+            w.restart_leader(0.2);
+            to(w, 60.0);
+        }),
+        (
+            "a leader ends while machines with long tasks can't be reached",
+            |w| {
+                for nth in 0..3 {
+                    w.cut_machine(nth, LEASE_S + 6.0);
+                }
+                for nth in 3..6 {
+                    w.unreach_machine(nth, LEASE_S + 4.0);
+                }
+                to(w, 1.0);
+                let reigns = w.reigns();
+                w.restart_leader(20.0);
+                to(w, 9.0);
+                assert!(
+                    w.reigns() > reigns,
+                    "a successor leads while they can't be reached"
+                );
+                to(w, 40.0);
+            },
+        ),
+        ("reports are held until a new leader has acted", |w| {
+            w.weather.held = 0.3;
+            for i in 0..5 {
+                to(w, 6.0 * f64::from(i));
+                w.restart_leader(0.3 + 2.0 * f64::from(i % 2));
+            }
+            to(w, 40.0);
+            assert!(w.counts.old_reports >= 5, "{}", w.counts.old_reports);
+        }),
+        (
+            "a team at its limit, machines that can't be asked, a cancellation",
+            |w| {
+                for n in 70..76 {
+                    w.user(n, BEGIN, (3, 25.0, false, n % 2 == 0), None);
+                }
+                to(w, 8.0);
+                assert!(w.used_cpus() >= 32.0, "{} of 40 CPUs", w.used_cpus());
+                w.cut_machine(0, LEASE_S + 8.0);
+                w.unreach_machine(1, LEASE_S + 8.0);
+                w.restart_leader(4.0);
+                to(w, 9.0);
+                assert!(w.cancel_now(5, 2, 5.0) >= 3);
+                to(w, 16.0);
+                assert!(told(w, 9.0, 16.0) >= 3, "confirmed within the spell");
+                to(w, 40.0);
+            },
+        ),
+        (
+            "controllers hand over and back, all end, one returns",
+            |w| {
+                let reigns = w.reigns();
+                for i in 0..4 {
+                    to(w, 3.0 * f64::from(i));
+                    w.restart_leader(0.4);
+                }
+                to(w, 12.0);
+                let now = w.now;
+                for node in 0..w.nodes() {
+                    let back = if node == 1 { 0.3 } else { 18.0 };
+                    w.crash(node, now, now + back);
+                }
+                to(w, 24.0);
+                assert!(w.reigns() >= reigns + 4, "{} reigns", w.reigns() - reigns);
+                to(w, 40.0);
+            },
+        ),
+        ("ten changes in two minutes, also inside an outage", |w| {
+            let reigns = w.reigns();
+            for i in 0..10 {
+                to(w, 12.0 * f64::from(i));
+                w.restart_leader(if i % 3 == 0 { 5.0 } else { 0.5 });
+                if i == 4 {
+                    let now = w.now;
+                    w.outage(now + 1.0, now + 14.0);
+                }
+                if i % 4 == 1 {
+                    w.cancel_now(1, 1, 4.0);
+                }
+            }
+            to(w, 121.0);
+            assert!(w.reigns() >= reigns + 8, "{} reigns", w.reigns() - reigns);
+        }),
+        ("all controllers are away for longer than a lease", |w| {
+            let now = w.now;
+            for node in 0..w.nodes() {
+                w.crash(node, now, now + LEASE_S + 3.0 + 0.2 * node as f64);
+            }
+            to(w, LEASE_S + 2.5);
+            assert!(w.lost_sessions() >= 3, "sessions end");
+            to(w, 30.0);
+        }),
+        (
+            "workers can't reach any controller, commands reach them",
+            |w| {
+                for nth in 0..4 {
+                    w.mute_machine(nth, LEASE_S + 4.0);
+                }
+                to(w, 3.0);
+                w.cancel_now(2, 0, 0.0);
+                w.restart_leader(2.0);
+                to(w, LEASE_S + 2.0);
+                assert!(w.lost_sessions() >= 2, "{}", w.lost_sessions());
+                to(w, 30.0);
+            },
+        ),
+    ]);
+}
+
+/// Messages, commands and transactions arrive late, after newer ones.
+#[test]
+fn late_messages() {
+    play(&[
+        ("transactions are carried out after newer ones", |w| {
+            w.weather.late_writes = 0.25;
+            for i in 0..6 {
+                to(w, 8.0 * f64::from(i));
+                w.cancel_now(1, 0, 0.0);
+                if i % 2 == 1 {
+                    w.restart_leader(0.5);
+                }
+            }
+            to(w, 50.0);
+            assert!(w.counts.late_txns >= 8, "{}", w.counts.late_txns);
+            assert!(w.counts.overtaken_txns >= 1, "{}", w.counts.overtaken_txns);
+        }),
+        ("old reports, of earlier sessions and attempts too", |w| {
+            w.weather.copies = 0.6;
+            for i in 0..6 {
+                to(w, 7.0 * f64::from(i));
+                w.reboot_machine(i as usize % 4, i % 3 == 2);
+                w.unreach_machine((i as usize + 1) % 4, LEASE_S + 2.0);
+                if i % 2 == 0 {
+                    w.restart_leader(0.4);
+                }
+            }
+            to(w, 60.0);
+            assert!(w.counts.old_reports >= 20, "{}", w.counts.old_reports);
+            assert!(w.counts.old_sessions >= 2, "{}", w.counts.old_sessions);
+        }),
+        ("commands are held up, and the machine goes on", |w| {
+            for i in 0..5 {
+                to(w, 8.0 * f64::from(i));
+                w.weather.late = 0.15;
+                w.cancel_now(2, 2, LEASE_S - 3.0);
+                w.cut_machine(i as usize % 5, 6.0);
+            }
+            to(w, 45.0);
+            assert!(told(w, 0.0, 45.0) >= 3);
+        }),
+        ("more work than room, over slow links", |w| {
+            for n in 50..80 {
+                let standing = n % 5 == 0;
+                let cancel = standing.then_some(BEGIN + 50.0);
+                w.user(n, BEGIN + 0.1, (4, 6.0, standing, n % 2 == 0), cancel);
+            }
+            w.weather.slow_s = 0.1;
+            w.weather.lost = 0.03;
+            w.weather.late = 0.03;
+            to(w, 15.0);
+            assert!(w.used_cpus() >= 32.0, "{} of 40 CPUs", w.used_cpus());
+            to(w, 60.0);
+            w.weather = Weather::default();
+            to(w, 160.0);
+        }),
+    ]);
+}
+
+/// What users do at the very end of a job, and what they should not do at all.
+#[test]
+fn users_at_the_end() {
+    play(&[
+        ("called off at the end of the last task", |w| {
+            w.weather.cancels_at_end = 0.5;
+            to(w, 70.0);
+            assert!(w.counts.cancels_at_end >= 3, "{}", w.counts.cancels_at_end);
+        }),
+        (
+            "submitted again and asked about at the end of the last task",
+            |w| {
+                w.weather.asks_at_end = 0.7;
+                to(w, 70.0);
+                assert!(w.counts.asks_at_end >= 4, "{}", w.counts.asks_at_end);
+            },
+        ),
+        ("odd requests, amid an outage and a change", |w| {
+            for i in 0..12 {
+                to(w, 4.0 * f64::from(i));
+                w.odd_requests();
+                w.odd_repeats();
+                match i {
+                    3 => {
+                        let now = w.now;
+                        w.outage(now, now + 9.0);
+                    }
+                    7 => {
+                        w.restart_leader(3.0);
+                    }
+                    _ => {}
+                }
+            }
+            to(w, 55.0);
+            for odd in [
+                Odd::NoRoom,
+                Odd::NoTeam,
+                Odd::OverLimit,
+                Odd::NoField,
+                Odd::Unknown,
+            ] {
+                let answers = w.counts.odd_answers.get(&odd).copied().unwrap_or(0);
+                assert!(answers >= 12, "{odd:?}: {answers} answers");
+            }
+        }),
+    ]);
+}
+
+/// Zones: cut off with workers and a controller, and jobs that are bound to one.
+#[test]
+fn zones() {
+    play(&[
+        (
+            "a zone with workers and a controller, for longer than a lease",
+            |w| {
+                assert!(w.cut_zone("b", false, 1, LEASE_S + 8.0));
+                to(w, 2.0);
+                w.cancel_now(3, 0, 0.0);
+                to(w, 30.0);
+                assert!(told(w, 2.0, 18.0) >= 2, "confirmed during the cut");
+            },
+        ),
+        (
+            "the same with the leader, for longer than its hold-over",
+            |w| {
+                assert!(w.cut_zone("b", true, 0, CANCEL_S + 5.0));
+                to(w, 2.0);
+                w.cancel_now(5, 2, 4.0);
+                to(w, 45.0);
+                assert!(told(w, 2.0, 34.0) >= 2, "confirmed during the cut");
+            },
+        ),
+        ("jobs bound to one zone lose machines", |w| {
+            w.user_in(60, BEGIN, (3, 0.0, true, false), Some("b"), None);
+            w.user_in(61, BEGIN, (6, 15.0, false, false), Some("b"), None);
+            w.user_in(62, BEGIN, (6, 15.0, false, true), Some("a"), None);
+            to(w, 14.0);
+            assert!(w.running_of(&[60, 61, 62]) >= 3, "they run");
+            let before: BTreeSet<String> = w.machines_in("b", false);
+            assert!(!before.is_empty());
+            let lost = w.lose_machines("b", 2);
+            assert!(lost >= 1, "{lost} lost");
+            w.restart_leader(2.0);
+            to(w, 50.0);
+        }),
+    ]);
+}
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -15,6 +15,14 @@
     pub repeats: f64,
     /// Seconds that the state service takes for an answer, beyond the usual.
     pub slow_s: f64,
+    /// A transaction gets no answer, and is carried out 2 to 12 s later.
+    pub late_writes: f64,
+    /// A report arrives seconds later, when its sender has given up; it may come to another node.
+    pub held: f64,
+    /// A job whose last task ends is called off by its user within moments.
+    pub cancels_at_end: f64,
+    /// A job whose last task ends is submitted once more and asked about at several nodes at once.
+    pub asks_at_end: f64,
 }
 
 /// A zone that is cut off from everything, with the controllers in it.
@@ -54,6 +62,17 @@
             let later = 1.0 + self.rng.random::<f64>() * 3.0 * LEASE_S;
             self.after(later, what.clone());
         }
+        if let What::StoreAt(_, _, _, StoreCall::Txn(txn)) = &what
+            && !txn.writes.is_empty()
+            && self.weather.late_writes > 0.0
+            && self.rng.random::<f64>() < self.weather.late_writes
+        {
+            // Its sender has given up by then, and gets no answer.
+            let later = 2.0 + self.rng.random::<f64>() * 10.0;
+            self.counts.late_txns += 1;
+            self.after(later, what);
+            return;
+        }
         let late = self.rng.random::<f64>() < self.weather.late;
         let delay = if late {
             2.0 + self.rng.random::<f64>() * 20.0
@@ -82,6 +101,17 @@
         true
     }
 
+    /// Takes that many machines of a zone away. Returns how many there were.
+    pub fn lose_machines(&mut self, zone: &str, count: usize) -> usize {
+        let there = self.workers.values().filter(|w| w.zone == zone);
+        let names: Vec<String> = there.map(|w| w.name.clone()).take(count).collect();
+        for name in &names {
+            self.machines.remove(name);
+            self.workers.remove(name);
+        }
+        names.len()
+    }
+
     /// Cuts the leader off from all but the state service. False: nobody leads.
     pub fn mute_leader(&mut self, for_s: f64) -> bool {
         match self.leader() {
@@ -140,6 +170,102 @@
         true
     }
 
+    /// The state service refuses the leader alone: its calls get 503, its open watches wait. Returns
+    /// the leader. False: nobody leads.
+    pub fn refuse_leader(&mut self, for_s: f64) -> bool {
+        let leader = self.leader();
+        if let Some(leader) = leader {
+            self.refused[leader] = self.now + for_s;
+        }
+        leader.is_some()
+    }
+
+    /// The leader's watch on the open jobs gets no answers, while all its other calls do.
+    pub fn hang_watch(&mut self, for_s: f64) -> bool {
+        let leader = self.leader();
+        if let Some(leader) = leader {
+            self.hung_watch[leader] = self.now + for_s;
+        }
+        leader.is_some()
+    }
+
+    /// Listings get no answers; all other calls do.
+    pub fn hang_listings(&mut self, for_s: f64) {
+        self.hung_listings = self.now + for_s;
+    }
+
+    /// Users call off that many jobs that run and have long to go, within a fifth of a second; so many
+    /// of their machines hang. Returns how many jobs.
+    pub fn cancel_now(&mut self, count: usize, machines: usize, hang_s: f64) -> usize {
+        let running = |u: &User| {
+            let on = |w: &Worker| w.runs_job(&u.id);
+            u.accepted
+                && u.cancel_at.is_none()
+                && u.told_done.is_none()
+                && self.workers.values().any(on)
+        };
+        let users: Vec<usize> = (0..self.users.len())
+            .filter(|n| running(&self.users[*n]))
+            .take(count)
+            .collect();
+        let mut left = machines;
+        for n in &users {
+            let id = self.users[*n].id.clone();
+            let until = self.now + hang_s;
+            for worker in self.workers.values_mut().filter(|w| w.runs_job(&id)) {
+                if left > 0 && worker.hung_until < self.now {
+                    worker.hung_until = until;
+                    left -= 1;
+                }
+            }
+            let at = self.now + self.rng.random::<f64>() * 0.2;
+            self.users[*n].cancel_at = Some(at);
+            self.at(at, What::User(*n));
+        }
+        users.len()
+    }
+
+    /// A machine reaches no controller, while direct commands reach it.
+    pub fn mute_machine(&mut self, nth: usize, for_s: f64) -> Option<String> {
+        let until = self.now + for_s;
+        let worker = self.workers.values_mut().nth(nth)?;
+        worker.muted_until = until;
+        Some(worker.name.clone())
+    }
+
+    /// Users send what can't be taken, and ask for jobs that nobody has submitted, at every node.
+    pub fn odd_requests(&mut self) {
+        for node in 0..self.nodes.len() {
+            for odd in [
+                Odd::NoRoom,
+                Odd::NoTeam,
+                Odd::OverLimit,
+                Odd::NoField,
+                Odd::Unknown,
+            ] {
+                self.after(0.002, What::OddAt(node, odd));
+            }
+        }
+    }
+
+    /// Users submit unfinished jobs once more, and cancel jobs that are done.
+    pub fn odd_repeats(&mut self) {
+        for n in 0..self.users.len() {
+            let what = match &self.users[n] {
+                u if !u.accepted || u.told_cancelled.is_some() => continue,
+                u if u.told_done.is_some() => Ask::Cancel,
+                _ => Ask::Submit,
+            };
+            let node = self.rng.random_range(0..self.nodes.len());
+            let asked = Asked {
+                what,
+                at: self.now,
+                once: true,
+            };
+            self.after(0.002, What::UserAt(node, n, asked));
+        }
+    }
+
     /// Nodes refuse one another's connections.
     pub fn refuse_peers(&mut self, for_s: f64) {
         self.peers_refuse = self.now + for_s;
