--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,6 +1,8 @@
 //! What the leading node does: it rebuilds its tables from the state service, takes reports, binds
 //! tasks, and reconciles workers and fleet with what is wanted.
 
+mod direct;
+mod exits;
 mod fleet;
 mod load;
 mod packing;
