Failed tasks: evidence decides between a faulty machine and a broken job

A job that fails on three machines without a success is suspect: it is tried one task at a time, with exponential back-off and jitter, is trusted again on the first success, and its failures no longer count against machines. A machine on which several jobs fail gets no more work until it is known which of them work elsewhere, and is given back if they do. A job's tasks avoid for a lease a machine where one failed.

On the sources before, broken_jobs_harm_nobody fails (one-task arrays, machines with work deleted); faulty machines were found before, too.

--- /dev/null
+++ b/src/bookkeeping/failures.rs
@@ -0,0 +1,148 @@
+//! Evidence from failed tasks.
+//!
+//! A task that fails does not tell whether its machine is faulty or its job was submitted with a
+//! mistake. Other tasks do: a job that fails on several machines without any success is suspect, and
+//! its failures say nothing about the machines; a machine on which jobs fail that succeed elsewhere is
+//! faulty. Until that is known, a machine on which several jobs fail is suspect.
+
+use std::collections::BTreeMap;
+
+/// Machines on which a job fails without a success in between before it is suspect.
+const SUSPECT_HOSTS: usize = 3;
+/// Failures that make a machine faulty.
+const FAULTY_FAILURES: u32 = 3;
+/// Failures that a job counts for at most as long as it has succeeded nowhere: fewer than it takes,
+/// so that one job alone never makes a machine suspect.
+const UNPROVEN_FAILURES: u32 = 2;
+/// Machines remembered for a job, and jobs remembered for a machine.
+const MAX_REMEMBERED: usize = 64;
+/// The longest back-off between two probes of a suspect job, in units of the shortest, as a power of
+/// two.
+const MAX_BACKOFF_POWER: u32 = 4;
+
+/// The failures of a job's tasks since the last success of one of them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct JobFailures {
+    /// Hosts on which tasks failed, and when they first did.
+    hosts: BTreeMap<String, f64>,
+    succeeded: bool,
+    suspect: bool,
+    failed_probes: u32,
+}
+
+impl JobFailures {
+    /// Whether the job itself is thought to be at fault. Only one of its tasks at a time is then
+    /// started, as a probe.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
+    /// Whether a task of the job has ever succeeded.
+    pub fn has_succeeded(&self) -> bool {
+        self.succeeded
+    }
+
+    /// Whether a task of the job has failed on a host since the last success.
+    pub fn has_failed_on(&self, host: &str) -> bool {
+        self.hosts.contains_key(host)
+    }
+
+    /// Whether further tasks of the job should go to other hosts than this one. After `avoid_s` the
+    /// host is tried again: there may be no other.
+    pub fn avoids(&self, host: &str, avoid_s: f64, now: f64) -> bool {
+        !self.suspect && self.hosts.get(host).is_some_and(|at| now - at < avoid_s)
+    }
+
+    /// The hosts on which tasks failed.
+    pub fn hosts(&self) -> impl Iterator<Item = &str> {
+        self.hosts.keys().map(String::as_str)
+    }
+
+    /// Notes a failure. The job becomes suspect when it has failed on several hosts, or again on one
+    /// that it had avoided for `avoid_s`. Returns whether it has just become suspect.
+    pub fn note_failure(&mut self, host: &str, avoid_s: f64, now: f64) -> bool {
+        let again = self.hosts.get(host).is_some_and(|at| now - at >= avoid_s);
+        if self.hosts.len() < MAX_REMEMBERED {
+            self.hosts.entry(host.to_owned()).or_insert(now);
+        }
+        let before = self.suspect;
+        self.suspect |= again || self.hosts.len() >= SUSPECT_HOSTS;
+        self.suspect && !before
+    }
+
+    /// Notes a success: the job is trusted again.
+    pub fn note_success(&mut self) {
+        *self = JobFailures {
+            succeeded: true,
+            ..JobFailures::default()
+        };
+    }
+
+    /// How long to wait before the next probe, given the shortest wait: exponential back-off.
+    pub fn next_backoff_s(&mut self, shortest_s: f64) -> f64 {
+        let power = self.failed_probes.min(MAX_BACKOFF_POWER);
+        self.failed_probes = power + 1;
+        shortest_s * f64::from(1u32 << power)
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Evidence {
+    failures: u32,
+    /// The job has succeeded elsewhere.
+    proven: bool,
+}
+
+/// The failures on a host since the last task that completed there, by job.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HostFailures {
+    jobs: BTreeMap<String, Evidence>,
+}
+
+impl HostFailures {
+    /// Notes that a task of a job failed here. `proven`: the job has succeeded elsewhere.
+    pub fn note_failure(&mut self, job: &str, proven: bool) {
+        if self.jobs.len() >= MAX_REMEMBERED && !self.jobs.contains_key(job) {
+            return;
+        }
+        let evidence = self.jobs.entry(job.to_owned()).or_default();
+        evidence.failures = evidence.failures.saturating_add(1);
+        evidence.proven |= proven;
+    }
+
+    /// Notes that a job whose tasks failed here has succeeded elsewhere.
+    pub fn note_proven(&mut self, job: &str) {
+        if let Some(evidence) = self.jobs.get_mut(job) {
+            evidence.proven = true;
+        }
+    }
+
+    /// Withdraws what a job's failures told, since the job itself is at fault, or may be.
+    pub fn withdraw(&mut self, job: &str) {
+        self.jobs.remove(job);
+    }
+
+    /// Notes that a task completed here: the machine works.
+    pub fn note_success(&mut self) {
+        self.jobs.clear();
+    }
+
+    /// Whether the machine may be faulty: it gets no more work until it is known which of the jobs
+    /// that failed here work elsewhere.
+    pub fn is_suspect(&self) -> bool {
+        let count = |evidence: &Evidence| {
+            if evidence.proven {
+                evidence.failures
+            } else {
+                evidence.failures.min(UNPROVEN_FAILURES)
+            }
+        };
+        self.jobs.values().map(count).sum::<u32>() >= FAULTY_FAILURES
+    }
+
+    /// Whether the machine is faulty: what failed here works elsewhere.
+    pub fn is_faulty(&self) -> bool {
+        let proven = self.jobs.values().filter(|evidence| evidence.proven);
+        proven.map(|evidence| evidence.failures).sum::<u32>() >= FAULTY_FAILURES
+    }
+}
--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -1,5 +1,6 @@
 //! Hosts, the tasks bound to them and what their workers say.
 
+use crate::bookkeeping::failures::HostFailures;
 use crate::protocol::cloud::Flavor;
 use crate::protocol::worker::{Cause, Order, Report, StepReport, StepStatus, TaskId, Verb};
 use std::collections::BTreeMap;
@@ -188,8 +189,8 @@
     pub since: f64,
     /// Since when nothing is bound here.
     pub idle_since: f64,
-    /// Failed starts in a row.
-    pub errors: u32,
+    /// What tasks that failed here tell about it.
+    pub failures: HostFailures,
     /// When it was last in the cloud's list.
     pub listed: Option<f64>,
     /// The cloud's list has shown it as running.
@@ -228,7 +229,7 @@
             images: Vec::new(),
             since: now,
             idle_since: now,
-            errors: 0,
+            failures: HostFailures::default(),
             listed: None,
             listed_up: false,
         }
--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -1,5 +1,6 @@
 //! Open jobs and their tasks.
 
+use crate::bookkeeping::failures::JobFailures;
 use crate::protocol::job::{JobSpec, Shape};
 use std::collections::{BTreeMap, HashMap};
 
@@ -74,8 +75,8 @@
     pub running: u32,
     /// Its ending is on the way.
     pub ending: bool,
-    /// Failures in a row.
-    pub errors: u32,
+    /// What its failed tasks tell about it.
+    pub failures: JobFailures,
     /// The latest attempt, which the tasks of a group share.
     pub group_attempt: Option<u64>,
     /// No starts before this time.
@@ -102,7 +103,7 @@
             bound_done: 0,
             running: 0,
             ending: false,
-            errors: 0,
+            failures: JobFailures::default(),
             group_attempt: None,
             not_before: 0.0,
             waiting_since: since,
@@ -132,6 +133,26 @@
         self.spec.tasks.saturating_sub(self.done.len() + bound)
     }
 
+    /// Whether replicas of this job have failed since the last one that ran for a while.
+    pub fn is_failing_service(&self) -> bool {
+        self.standing() && self.failures.hosts().next().is_some()
+    }
+
+    /// Number of tasks that may be placed now: all that wait, but of a suspect job only one at a
+    /// time, as a probe.
+    pub fn startable(&self) -> u32 {
+        let waiting = self.waiting();
+        if !self.failures.is_suspect() {
+            return waiting;
+        }
+        let probing = self.bound.len() as u32 > self.bound_done;
+        match self.spec.shape {
+            _ if probing => 0,
+            Shape::Group => waiting,
+            Shape::Array | Shape::Standing => waiting.min(1),
+        }
+    }
+
     /// Whether any task has been placed or completed.
     pub fn begun(&self) -> bool {
         !self.done.is_empty() || !self.bound.is_empty()
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -2,6 +2,7 @@
 //! state service. Pure: no sockets, no clocks; times are passed in, in seconds of a steady clock.
 
 pub mod budget;
+pub mod failures;
 pub mod hosts;
 pub mod jobs;
 pub mod ledger;
--- a/src/coordination/leader/exits.rs
+++ b/src/coordination/leader/exits.rs
@@ -2,6 +2,7 @@
 
 use super::Leader;
 use crate::bookkeeping::hosts::HaltReason;
+use crate::bookkeeping::jobs::Job;
 use crate::bookkeeping::ledger::Change;
 use crate::protocol::worker::{Cause, StepStatus, TaskId};
 
@@ -14,6 +15,7 @@
         let mut exits = Vec::new();
         let mut absent = Vec::new();
         let mut images = Vec::new();
+        let mut running = Vec::new();
         for (task, binding) in &mut host.bindings {
             if binding.ending || !binding.durable {
                 continue;
@@ -39,7 +41,17 @@
                     tracing::debug!(host = name, %task, attempt = binding.attempt, "running");
                     images.push(task.job.clone());
                 }
-                Some(_) => {}
+                Some(step) => {
+                    let failed = self
+                        .jobs
+                        .get(&task.job)
+                        .is_some_and(Job::is_failing_service);
+                    if let Some(since) = binding.running.filter(|_| failed)
+                        && step.status == StepStatus::Running
+                    {
+                        running.push((task.job.clone(), now - since));
+                    }
+                }
                 // The worker has this Epoch, so no earlier leader's start can reach it any more:
                 // what it does not show is not there and won't be.
                 None if binding.inherited && host.acked => {
@@ -62,6 +74,9 @@
                 host.note_image(&job.spec.image);
             }
         }
+        for (job, for_s) in running {
+            self.note_running(name, &job, for_s);
+        }
         for (task, attempt) in absent {
             self.end_binding(name, &task, attempt, false);
         }
@@ -96,45 +111,21 @@
         now: f64,
     ) {
         tracing::debug!(host = name, %task, attempt, ?cause, "exited");
-        let report_s = self.settings.deployment.workers.report_s;
         let mut done = false;
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            match cause {
-                Cause::Done if !job.standing() => {
-                    done = job.complete(task.index);
-                    job.errors = 0;
-                }
-                // A faulty machine, or a mistake in the job: both wait a little longer each time.
-                Cause::Error | Cause::NoSuch | Cause::Other => {
-                    job.errors = (job.errors + 1).min(8);
-                    let tasks = job.spec.tasks.max(1);
-                    if job.errors > tasks.min(3) {
-                        let wait = report_s * f64::from(1u32 << (job.errors - 1)) / 8.0;
-                        job.not_before = now + wait.min(report_s * 8.0);
-                    }
+        match cause {
+            Cause::Done => {
+                if ran {
+                    self.note_finish(name, task, now);
                 }
-                _ => {}
-            }
-        }
-        if let Some(host) = self.hosts.get_mut(name) {
-            match cause {
-                Cause::Error => {
-                    host.errors += 1;
-                    tracing::info!(host = name, %task, errors = host.errors, "task failed");
+                if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.standing()) {
+                    done = job.complete(task.index);
                 }
-                Cause::Done => host.errors = 0,
-                _ => {}
+                self.note_success(name, &task.job);
             }
-            if cause == Cause::Done && ran {
-                let binding = host.bindings.get(task);
-                if let Some(ran_s) = binding.and_then(|b| b.running).map(|since| now - since) {
-                    let expect_s = self
-                        .jobs
-                        .get(&task.job)
-                        .map_or(0.0, |job| job.spec.expect_s);
-                    self.fleet.note_finish(host, ran_s, expect_s, now);
-                }
+            Cause::Error | Cause::NoSuch | Cause::Other => {
+                self.note_failure(name, task, cause, now);
             }
+            Cause::Stopped | Cause::Full | Cause::Busy => {}
         }
         // The end of the job goes first: should only it be written, the binding still is in the
         // records and ends by the worker's next report.
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -9,6 +9,7 @@
 mod reports;
 mod scaling;
 mod silence;
+mod verdicts;
 mod writes;
 
 use super::outbox::Outbox;
@@ -45,6 +46,8 @@
 const EXPECT_MARGIN: f64 = 1.5;
 /// Leases for which a job waits without a start before it goes first among its equals.
 const AGEING_LEASES: f64 = 6.0;
+/// Leases for which a job's tasks avoid a host on which one of them has failed.
+const AVOID_LEASES: f64 = 1.0;
 /// Passes of the scheduler in a report interval, at most.
 const PASSES_PER_REPORT: f64 = 25.0;
 
@@ -256,6 +259,7 @@
                 }
             }
         }
+        self.withdraw_failures(job);
         self.schedule_due = true;
     }
 
@@ -434,13 +438,17 @@
         }
         self.schedule_due = false;
         self.schedule_at = now + self.settings.deployment.workers.report_s / PASSES_PER_REPORT;
-        let patience_s = AGEING_LEASES * self.settings.deployment.workers.lease_s;
+        let lease_s = self.settings.deployment.workers.lease_s;
+        let limits = scheduler::Limits {
+            ageing_s: AGEING_LEASES * lease_s,
+            avoid_s: AVOID_LEASES * lease_s,
+        };
         let pass = Pass::new(
             &self.jobs,
             &self.hosts,
             &self.flavors,
             &self.quotas,
-            patience_s,
+            limits,
             now,
         );
         let plan = pass.run(&mut self.rng);
@@ -496,8 +504,9 @@
         job.bind(task.index, name, &host.zone);
         self.quotas.take(&job.spec.team, need.cpus, need.gpus);
         // Forecasts are for what belongs in the pool: neither replicas, which stay, nor work that
-        // has only spilled over from the spot pools.
-        let share = if job.standing() || (job.spec.spot && !host.spot) {
+        // has only spilled over from the spot pools; nor probes of a job that fails everywhere.
+        let spilled = job.spec.spot && !host.spot;
+        let share = if job.standing() || spilled || job.failures.is_suspect() {
             None
         } else {
             let flavor = self.flavors.iter().find(|f| f.name == host.flavor);
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -266,7 +266,7 @@
         let mut sum = Room::default();
         for job in self.jobs.iter().filter(|job| job.standing()) {
             let here = f64::from(job.zones.get(zone).copied().unwrap_or(0));
-            let here = here + f64::from(job.waiting()) / zones;
+            let here = here + f64::from(job.startable()) / zones;
             count += here;
             sum = sum.plus(&scheduler::need(&job.spec).times(here));
         }
--- a/src/coordination/leader/silence.rs
+++ b/src/coordination/leader/silence.rs
@@ -2,7 +2,6 @@
 
 use super::Leader;
 use crate::bookkeeping::hosts::Host;
-use crate::coordination::scheduler::MAX_ERRORS;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Usual boot times after which a machine that is not up is given back.
@@ -137,7 +136,7 @@
                 && !waits(host)
             {
                 "can't be reached"
-            } else if host.errors >= MAX_ERRORS {
+            } else if host.failures.is_faulty() {
                 "fails tasks"
             } else if host.heard.is_none()
                 && host.listed.is_some_and(|at| now - at > lost_s)
--- /dev/null
+++ b/src/coordination/leader/verdicts.rs
@@ -0,0 +1,109 @@
+//! What failed and completed tasks tell about their jobs and machines.
+
+use super::{AVOID_LEASES, Leader};
+use crate::bookkeeping::jobs::Job;
+use crate::protocol::worker::{Cause, TaskId};
+use rand::Rng;
+
+/// The shortest wait of a suspect job between two probes, in report intervals.
+const PROBE_REPORTS: f64 = 1.0;
+/// By how much that wait varies, so that jobs that became suspect together don't probe together.
+const JITTER: f64 = 0.25;
+/// Report intervals for which a replica must run to show that its job works.
+const STEADY_REPORTS: f64 = 2.0;
+
+impl Leader {
+    /// Counts the run time of a task that has completed.
+    pub(super) fn note_finish(&mut self, host: &str, task: &TaskId, now: f64) {
+        let Some(host) = self.hosts.get(host) else {
+            return;
+        };
+        let running = host.bindings.get(task).and_then(|binding| binding.running);
+        if let Some(since) = running {
+            let job = self.jobs.get(&task.job);
+            let expect_s = job.map_or(0.0, |job| job.spec.expect_s);
+            self.fleet.note_finish(host, now - since, expect_s, now);
+        }
+    }
+
+    /// A task of a job has completed on a host: both work, so where the job failed before, that was
+    /// the machine's fault, unless the job is suspect.
+    pub(super) fn note_success(&mut self, host: &str, job: &str) {
+        if let Some(host) = self.hosts.get_mut(host) {
+            host.failures.note_success();
+        }
+        let Some(job) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if job.failures.is_suspect() {
+            tracing::info!(job = job.spec.id, "a task completed: no longer suspect");
+            job.not_before = 0.0;
+            self.schedule_due = true;
+        } else {
+            for name in job.failures.hosts() {
+                if let Some(host) = self.hosts.get_mut(name) {
+                    host.failures.note_proven(&job.spec.id);
+                }
+            }
+        }
+        job.failures.note_success();
+    }
+
+    /// A replica of a failing service runs on a host: it never completes, so having run for a while is
+    /// its success.
+    pub(super) fn note_running(&mut self, host: &str, job: &str, for_s: f64) {
+        let steady_s = STEADY_REPORTS * self.settings.deployment.workers.report_s;
+        if for_s >= steady_s {
+            self.note_success(host, job);
+        }
+    }
+
+    /// A task has failed: its machine may be faulty, or its job was submitted with a mistake.
+    pub(super) fn note_failure(&mut self, host: &str, task: &TaskId, cause: Cause, now: f64) {
+        let workers = &self.settings.deployment.workers;
+        let avoid_s = AVOID_LEASES * workers.lease_s;
+        let shortest_s = PROBE_REPORTS * workers.report_s;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        tracing::info!(host, %task, ?cause, "task failed");
+        let probed = job.failures.is_suspect() && now >= job.not_before;
+        let newly_suspect = job.failures.note_failure(host, avoid_s, now);
+        if probed || newly_suspect {
+            let jitter = self.rng.random_range(1.0 - JITTER..1.0 + JITTER);
+            let wait_s = job.failures.next_backoff_s(shortest_s) * jitter;
+            job.not_before = now + wait_s;
+            tracing::info!(
+                job = job.spec.id,
+                wait_s,
+                "suspect: fails on several machines"
+            );
+        }
+        if newly_suspect {
+            for name in job.failures.hosts() {
+                if let Some(host) = self.hosts.get_mut(name) {
+                    host.failures.withdraw(&task.job);
+                }
+            }
+        } else if cause == Cause::Error
+            && !job.failures.is_suspect()
+            && let Some(host) = self.hosts.get_mut(host)
+        {
+            let proven = job.failures.has_succeeded();
+            host.failures.note_failure(&task.job, proven);
+        }
+    }
+
+    /// A job is over. What its failures told about machines is withdrawn, unless it has succeeded
+    /// elsewhere: it may have been at fault itself.
+    pub(super) fn withdraw_failures(&mut self, job: &Job) {
+        if job.failures.has_succeeded() {
+            return;
+        }
+        for name in job.failures.hosts() {
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.failures.withdraw(&job.spec.id);
+            }
+        }
+    }
+}
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod making_room;
 
+use crate::bookkeeping::failures::JobFailures;
 use crate::bookkeeping::hosts::{Host, Hosts, Room};
 use crate::bookkeeping::jobs::{Job, Jobs};
 use crate::bookkeeping::quotas::Quotas;
@@ -81,6 +82,8 @@
 /// A host that a job's tasks may go to, with what does not change while they are placed.
 struct Candidate {
     slot: usize,
+    /// A task of the job has failed there.
+    failed: bool,
     image: bool,
     /// It would have to fetch the image, which what must start soon can't wait for.
     slow: bool,
@@ -91,6 +94,7 @@
 /// A job that is being placed.
 struct Placing<'a> {
     spec: &'a JobSpec,
+    failures: &'a JobFailures,
     need: Room,
     /// Its tasks in each zone, by the zone's number.
     zones: Vec<u32>,
@@ -129,11 +133,19 @@
     hopeless: [Option<Room>; 2],
     /// The lowest rank that has tasks bound.
     lowest: Rank,
-    /// A job that has waited for so long without a start goes first among its equals.
-    patience_s: f64,
+    limits: Limits,
     now: f64,
 }
 
+/// Times that bound what a pass does for a job.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// A job that has waited for so long without a start goes first among its equals.
+    pub ageing_s: f64,
+    /// For so long a job's tasks avoid a host on which one of them has failed.
+    pub avoid_s: f64,
+}
+
 /// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 fn within_guarantee(jobs: &Jobs, quotas: &Quotas) -> HashSet<String> {
     let mut by_age: Vec<&Job> = jobs.iter().collect();
@@ -157,21 +169,20 @@
 }
 
 impl<'a> Pass<'a> {
-    /// Prepares a pass. A job that has waited for `patience_s` without a start goes first among its
-    /// equals.
+    /// Prepares a pass.
     pub fn new(
         jobs: &'a Jobs,
         hosts: &'a Hosts,
         flavors: &[Flavor],
         quotas: &Quotas,
-        patience_s: f64,
+        limits: Limits,
         now: f64,
     ) -> Pass<'a> {
         let kinds: HashMap<&str, &Flavor> = flavors.iter().map(|f| (f.name.as_str(), f)).collect();
         let mut zones: Vec<&str> = Vec::new();
         let slots = hosts
             .iter()
-            .filter(|host| host.usable() && host.errors < MAX_ERRORS)
+            .filter(|host| host.usable() && !host.failures.is_suspect())
             .filter_map(|host| {
                 let flavor = kinds.get(host.flavor.as_str())?;
                 let whole = Room::of_flavor(flavor);
@@ -199,7 +210,7 @@
                 .map(|job| job.spec.rank)
                 .max()
                 .unwrap_or(Rank::Production),
-            patience_s,
+            limits,
             now,
         }
     }
@@ -210,7 +221,7 @@
         let mut order: Vec<(OrderKey, &Job)> = self
             .jobs
             .iter()
-            .filter(|job| now >= job.not_before && job.waiting() > 0)
+            .filter(|job| now >= job.not_before && job.startable() > 0)
             .filter(|job| job.spec.shape != Shape::Group || job.bound.is_empty())
             .map(|job| (self.order_key(job), job))
             .collect();
@@ -230,7 +241,9 @@
         OrderKey {
             rank: job.spec.rank,
             beyond: !self.within.contains(&job.spec.id),
-            patient: job.begun() || self.now - job.since < self.patience_s,
+            patient: job.begun()
+                || job.failures.is_suspect()
+                || self.now - job.since < self.limits.ageing_s,
             late: job.due.is_some_and(|due| due < self.now),
             due: job.due.unwrap_or(job.since),
         }
@@ -238,9 +251,10 @@
 
     fn place_job(&mut self, job: &'a Job, starving: bool, rng: &mut impl Rng) {
         let spec = &job.spec;
-        let waiting = job.waiting();
+        let waiting = job.startable();
         let mut placing = Placing {
             spec,
+            failures: &job.failures,
             need: need(spec),
             zones: vec![0; self.zones.len()],
             placed: HashMap::new(),
@@ -272,7 +286,7 @@
         }
         let mut missing = waiting - placed - barred;
         let fits = |quotas: &Quotas| quotas.fits(&spec.team, spec.cpus, spec.gpus);
-        let stops = if self.now >= job.patient_until {
+        let stops = if self.now >= job.patient_until && !job.failures.is_suspect() {
             Stops::Anywhere
         } else {
             Stops::Nowhere
@@ -306,6 +320,7 @@
         let (mut placed, mut barred, mut expected) = (0, 0, 0);
         // Worth stopping others for: a start within the time that is asked for.
         let prompt = spec.shape == Shape::Standing
+            && !job.failures.is_suspect()
             && job
                 .prompt_s
                 .is_some_and(|s| self.now - job.waiting_since < s / 2.0);
@@ -313,7 +328,8 @@
         if spec.one_zone && placing.zones.iter().all(|count| *count == 0) {
             self.choose_zone(&mut candidates, &placing.need);
         }
-        for index in job.waiting_tasks().take(MAX_BINDS) {
+        let startable = job.startable() as usize;
+        for index in job.waiting_tasks().take(MAX_BINDS.min(startable)) {
             if self.plan.binds.len() >= MAX_BINDS {
                 break;
             }
@@ -362,7 +378,12 @@
     /// Whether the job's tasks may go to a host at all.
     fn allows(&self, placing: &Placing, slot: &Slot) -> bool {
         let host = slot.host;
-        placing.spec.allows(&host.flavor, &host.zone, host.spot) && placing.zone_allows(slot.zone)
+        let avoids = placing
+            .failures
+            .avoids(&host.name, self.limits.avoid_s, self.now);
+        !avoids
+            && placing.spec.allows(&host.flavor, &host.zone, host.spot)
+            && placing.zone_allows(slot.zone)
     }
 
     /// Hosts with room for a task of the job; where there are many, a random sample.
@@ -395,6 +416,7 @@
                 let waits = prompt_s.is_some_and(|prompt_s| fetch_s < prompt_s);
                 Candidate {
                     slot,
+                    failed: placing.failures.has_failed_on(&host.name),
                     image,
                     slow: spec.rank <= Rank::Urgent && !image && !waits,
                     dear: spec.spot && !host.spot,
@@ -446,7 +468,7 @@
                         Some(count) if !c.image && spec.shape == Shape::Standing => *count,
                         _ => 0,
                     };
-                    ((c.slow, c.dear, replicas, !c.image, mates), left)
+                    ((c.failed, c.slow, c.dear, replicas, !c.image, mates), left)
                 };
                 let (a, b) = (key(a), key(b));
                 a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
@@ -497,6 +519,3 @@
     late: bool,
     due: f64,
 }
-
-/// Failed starts in a row after which a host gets no more work.
-pub const MAX_ERRORS: u32 = 3;
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,388 @@
+//! Tasks that fail: whether the machine is at fault or the job, and what follows for the others.
+
+mod common;
+mod world;
+
+use cedarladder::bookkeeping::failures::{HostFailures, JobFailures};
+use cedarladder::bookkeeping::hosts::Hosts;
+use cedarladder::bookkeeping::jobs::Jobs;
+use cedarladder::bookkeeping::quotas::Quotas;
+use cedarladder::coordination::scheduler::{Limits, Pass, Plan};
+use common::{flavor, host, job, spec};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use world::World;
+
+/// For so long a job avoids a host on which it has failed, in these tests.
+const AVOID_S: f64 = 10.0;
+
+#[test]
+fn when_a_job_is_suspect() {
+    // Failures as (host, time), `None` for a success; whether the job is suspect at the end.
+    type Event = Option<(&'static str, f64)>;
+    let cases: [(&str, &[Event], bool); 7] = [
+        ("nothing has failed", &[], false),
+        (
+            "many failures on one host",
+            &[
+                Some(("a", 0.0)),
+                Some(("a", 0.1)),
+                Some(("a", 0.2)),
+                Some(("a", 9.0)),
+            ],
+            false,
+        ),
+        (
+            "failures on two hosts",
+            &[Some(("a", 0.0)), Some(("b", 0.1)), Some(("b", 0.2))],
+            false,
+        ),
+        (
+            "failures on three hosts",
+            &[Some(("a", 0.0)), Some(("b", 0.1)), Some(("c", 0.2))],
+            true,
+        ),
+        (
+            "a success in between",
+            &[Some(("a", 0.0)), Some(("b", 0.1)), None, Some(("c", 0.2))],
+            false,
+        ),
+        (
+            "a success at the end",
+            &[Some(("a", 0.0)), Some(("b", 0.1)), Some(("c", 0.2)), None],
+            false,
+        ),
+        (
+            "the only host, tried again after it was avoided",
+            &[Some(("a", 0.0)), Some(("a", AVOID_S))],
+            true,
+        ),
+    ];
+    for (name, events, suspect) in cases {
+        let mut failures = JobFailures::default();
+        for event in events {
+            match event {
+                Some((host, at)) => {
+                    failures.note_failure(host, AVOID_S, *at);
+                }
+                None => failures.note_success(),
+            }
+        }
+        assert_eq!(failures.is_suspect(), suspect, "{name}");
+    }
+}
+
+#[test]
+fn when_a_host_is_faulty() {
+    enum Event {
+        Failed(&'static str, bool),
+        Proven(&'static str),
+        Withdrawn(&'static str),
+        Completed,
+    }
+    use Event::{Completed, Failed, Proven, Withdrawn};
+    /// Sound, suspect (no more work), or faulty (given back).
+    #[derive(Debug, PartialEq)]
+    enum Verdict {
+        Sound,
+        Suspect,
+        Faulty,
+    }
+    use Verdict::{Faulty, Sound, Suspect};
+    let cases: [(&str, &[Event], Verdict); 10] = [
+        ("nothing has failed", &[], Sound),
+        (
+            "one job that has succeeded nowhere, however often",
+            &[
+                Failed("j", false),
+                Failed("j", false),
+                Failed("j", false),
+                Failed("j", false),
+            ],
+            Sound,
+        ),
+        (
+            "one job that has succeeded elsewhere",
+            &[Failed("j", true), Failed("j", true), Failed("j", true)],
+            Faulty,
+        ),
+        (
+            "one job that succeeds elsewhere afterwards",
+            &[
+                Failed("j", false),
+                Failed("j", false),
+                Failed("j", false),
+                Proven("j"),
+            ],
+            Faulty,
+        ),
+        (
+            "three jobs of one task each",
+            &[Failed("j", false), Failed("k", false), Failed("l", false)],
+            Suspect,
+        ),
+        (
+            "three jobs of one task each, which succeed elsewhere then",
+            &[
+                Failed("j", false),
+                Failed("k", false),
+                Failed("l", false),
+                Proven("j"),
+                Proven("k"),
+                Proven("l"),
+            ],
+            Faulty,
+        ),
+        (
+            "two jobs that have succeeded nowhere",
+            &[Failed("j", false), Failed("j", false), Failed("k", false)],
+            Suspect,
+        ),
+        (
+            "one of them turns out to be at fault itself",
+            &[
+                Failed("j", false),
+                Failed("j", false),
+                Failed("k", false),
+                Withdrawn("j"),
+            ],
+            Sound,
+        ),
+        (
+            "a task completes in between",
+            &[
+                Failed("j", true),
+                Failed("j", true),
+                Completed,
+                Failed("j", true),
+            ],
+            Sound,
+        ),
+        (
+            "a proof for a job that has not failed here",
+            &[
+                Failed("j", false),
+                Failed("j", false),
+                Failed("j", false),
+                Proven("k"),
+            ],
+            Sound,
+        ),
+    ];
+    for (name, events, expected) in cases {
+        let mut failures = HostFailures::default();
+        for event in events {
+            match event {
+                Failed(job, proven) => failures.note_failure(job, *proven),
+                Proven(job) => failures.note_proven(job),
+                Withdrawn(job) => failures.withdraw(job),
+                Completed => failures.note_success(),
+            }
+        }
+        let verdict = match (failures.is_suspect(), failures.is_faulty()) {
+            (_, true) => Faulty,
+            (true, false) => Suspect,
+            (false, false) => Sound,
+        };
+        assert_eq!(verdict, expected, "{name}");
+    }
+}
+
+#[test]
+fn probes_back_off() {
+    let mut failures = JobFailures::default();
+    let waits: Vec<f64> = (0..7).map(|_| failures.next_backoff_s(2.0)).collect();
+    assert_eq!(waits, [2.0, 4.0, 8.0, 16.0, 32.0, 32.0, 32.0]);
+    failures.note_success();
+    assert_eq!(failures.next_backoff_s(2.0), 2.0);
+}
+
+/// One pass for a job of six tasks, whose tasks failed on these hosts, beside empty hosts.
+fn pass(failed_on: &[&str], hosts: &[&str], now: f64) -> Plan {
+    let mut jobs = Jobs::default();
+    let mut broken = job(spec("j-000001", 6));
+    for name in failed_on {
+        broken.failures.note_failure(name, AVOID_S, 100.0);
+    }
+    jobs.insert(broken);
+    let mut table = Hosts::default();
+    for name in hosts {
+        table.entry(name, || host(name, "a", false));
+    }
+    let quotas = Quotas::new(&[common::team("t", 0.0, 100.0)]);
+    let limits = Limits {
+        ageing_s: 50.0,
+        avoid_s: AVOID_S,
+    };
+    let pass = Pass::new(&jobs, &table, &[flavor("f")], &quotas, limits, now);
+    pass.run(&mut SmallRng::seed_from_u64(1))
+}
+
+#[test]
+fn where_tasks_go_after_failures() {
+    // Failed on; hosts; time; binds and missing tasks expected; hosts that must get none.
+    type Case = (
+        &'static str,
+        &'static [&'static str],
+        &'static [&'static str],
+        f64,
+        (usize, u32),
+        &'static [&'static str],
+    );
+    let cases: [Case; 6] = [
+        ("none failed", &[], &["a", "b"], 101.0, (6, 0), &[]),
+        (
+            "failed on one: to others",
+            &["a"],
+            &["a", "b", "c"],
+            101.0,
+            (6, 0),
+            &["a"],
+        ),
+        (
+            "failed on the only one: waits",
+            &["a"],
+            &["a"],
+            101.0,
+            (0, 6),
+            &["a"],
+        ),
+        (
+            "later it is tried again",
+            &["a"],
+            &["a"],
+            111.0,
+            (4, 2),
+            &[],
+        ),
+        (
+            "suspect: one probe, where it has not failed",
+            &["a", "b", "c"],
+            &["a", "b", "c", "d"],
+            101.0,
+            (1, 0),
+            &["a", "b", "c"],
+        ),
+        (
+            "suspect: one probe, anywhere if need be",
+            &["a", "b", "c"],
+            &["a", "b"],
+            101.0,
+            (1, 0),
+            &[],
+        ),
+    ];
+    for (name, failed_on, hosts, now, expected, none_on) in cases {
+        let plan = pass(failed_on, hosts, now);
+        let missing = plan.unplaced.iter().map(|unplaced| unplaced.count).sum();
+        assert_eq!((plan.binds.len(), missing), expected, "{name}");
+        for (_, host) in &plan.binds {
+            assert!(!none_on.contains(&host.as_str()), "{name}: {host}");
+        }
+    }
+}
+
+/// Services and a stream of short arrays, on up to 48 machines.
+fn crowded(seed: u64, nodes: usize) -> World {
+    let mut world = World::sized(seed, nodes, 12);
+    for n in 0..4 {
+        world.user(n, 0.5, (4, 0.0, true, false), None);
+    }
+    for n in 10..50 {
+        let at = 1.0 + 3.0 * f64::from(n - 10);
+        world.user(n, at, (20, 6.0, false, n % 2 == 0), None);
+    }
+    world
+}
+
+fn failures_of(world: &World, n: u32) -> u32 {
+    let id = format!("j-{n:06}");
+    world.counts.failures.get(&id).copied().unwrap_or(0)
+}
+
+/// Probes that a broken job may have within a minute and a half, with those of a new leader.
+const MAX_PROBES: u32 = 10;
+
+/// Jobs with a mistake condemn no machine, are tried again one task at a time, stay known, and are
+/// cancelled at once.
+#[test]
+fn broken_jobs_harm_nobody() {
+    type Trouble = fn(&mut World);
+    // Tasks, service, how often all of them may fail at once, and what else goes on.
+    let cases: [(&str, u32, bool, u32, Trouble); 5] = [
+        ("an array", 40, false, 1, |_| {}),
+        ("an array of one task", 1, false, 3, |_| {}),
+        ("a service", 6, true, 2, |_| {}),
+        ("an array, and the leader is replaced", 40, false, 2, |w| {
+            w.run(60.0);
+            assert!(w.restart_leader(5.0));
+        }),
+        ("an array, and the leader pauses", 40, false, 2, |w| {
+            w.run(60.0);
+            assert!(w.freeze_leader(9.0));
+        }),
+    ];
+    for (name, tasks, standing, times, trouble) in cases {
+        for nodes in [3, 5] {
+            let name = format!("{name}, {nodes} controllers");
+            let mut world = crowded(21, nodes);
+            for n in 0..4 {
+                let at = 30.0 + 2.0 * f64::from(n);
+                world.broken_job(100 + n, at, (tasks, standing), 110.0 + f64::from(n));
+            }
+            trouble(&mut world);
+            world.run(108.0);
+            assert_eq!(world.unanswered(10.0), Vec::<&str>::new(), "{name}: known");
+            for n in 100..104 {
+                let failures = failures_of(&world, n);
+                assert!(failures >= 3, "{name}: it did fail: {failures}");
+                let most = tasks * times + MAX_PROBES;
+                assert!(failures <= most, "{name}: {failures} failures");
+            }
+            assert_eq!(
+                world.deleted_busy,
+                Vec::<String>::new(),
+                "{name}: machines with work"
+            );
+            world.run(120.0);
+            assert!(world.told_cancelled(108.0, 120.0) >= 4, "{name}: cancelled");
+            world.run(260.0);
+            world.check(&name);
+        }
+    }
+}
+
+/// Faulty machines are given back soon, also beside jobs that fail everywhere; sound ones stay.
+#[test]
+fn faulty_machines_are_found() {
+    for broken in [false, true] {
+        for nodes in [3, 5] {
+            let name = format!("broken jobs: {broken}, {nodes} controllers");
+            let mut world = crowded(22, nodes);
+            world.run(30.0);
+            let faulty: Vec<String> = (0..4).filter_map(|n| world.break_machine(2 * n)).collect();
+            if broken {
+                for n in 0..3 {
+                    let at = 30.5 + 2.0 * f64::from(n);
+                    world.broken_job(100 + n, at, (20, false), 90.0);
+                }
+            }
+            world.run(75.0);
+            // Four tasks fit on a machine, and each broken job may fill it once.
+            let most = if broken { 12 + 3 * 4 } else { 12 };
+            let mut failed = 0;
+            for machine in &faulty {
+                let failures = world.failures_on(machine);
+                failed += u32::from(failures >= 3);
+                assert!(failures <= most, "{name}: {failures} failures on {machine}");
+                let gone = !world.has_machine(machine);
+                assert!(gone || failures < 3, "{name}: {machine} is given back");
+            }
+            assert!(failed >= 2, "{name}: tasks failed on them");
+            let sound = world.deleted_busy_but(&faulty);
+            assert_eq!(sound, 0, "{name}: sound machines with work");
+            world.run(260.0);
+            world.check(&name);
+        }
+    }
+}
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -312,6 +312,13 @@
         }
     }
 
+    /// Makes a machine faulty: every task that starts there from now on fails.
+    pub fn break_machine(&mut self, nth: usize) -> Option<String> {
+        let worker = self.workers.values_mut().nth(nth)?;
+        worker.faulty = true;
+        Some(worker.name.clone())
+    }
+
     /// Makes a machine deaf and mute for a while.
     pub fn cut_machine(&mut self, nth: usize, for_s: f64) -> Option<String> {
         let until = self.now + for_s;
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -116,6 +116,8 @@
     /// The only zone that it allows.
     pub zone: Option<&'static str>,
     pub cancel_at: Option<f64>,
+    /// Submitted with a mistake: its tasks fail on every machine.
+    pub broken: bool,
     pub accepted: bool,
     pub told_cancelled: Option<f64>,
     pub told_done: Option<f64>,
@@ -192,6 +194,7 @@
             apart_s: 0.0,
             zone,
             cancel_at,
+            broken: false,
             accepted: false,
             told_cancelled: None,
             told_done: None,
@@ -201,6 +204,14 @@
         self.at(at, What::User(index));
     }
 
+    /// Adds a job that was submitted with a mistake, until its user cancels it.
+    pub fn broken_job(&mut self, n: u32, at: f64, (tasks, standing): (u32, bool), cancel_at: f64) {
+        self.user(n, at, (tasks, 5.0, standing, false), Some(cancel_at));
+        if let Some(user) = self.users.last_mut() {
+            user.broken = true;
+        }
+    }
+
     pub(super) fn user_acts(&mut self, user: usize) {
         let u = &self.users[user];
         let ask = if !u.accepted {
