Silence: all zones silent at once means that the leader is cut off

Spot machines of a zone that is cut off go back at once, and the guard for a leader that is cut off waits until half of the machines have missed 1.5 reports, while the first to do so are already given back. Ruled out: dead machines (none in that minute).

Now no machine is given back for silence while all zones are silent, for a lease.

--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -121,6 +121,8 @@
     retire_at: f64,
     /// Zones that are taken to be cut off, and when that was last so.
     pub(super) cut_zones: BTreeMap<String, f64>,
+    /// Since when all zones have been silent at once.
+    pub(super) all_cut_since: Option<f64>,
     pub(super) list_lag_s: f64,
     pub(super) report_s: f64,
 }
@@ -168,6 +170,7 @@
             scale_at: 0.0,
             retire_at: 0.0,
             cut_zones: BTreeMap::new(),
+            all_cut_since: None,
             list_lag_s: cloud.list_lag_s,
             report_s: settings.deployment.workers.report_s,
         }
--- a/src/coordination/leader/silence.rs
+++ b/src/coordination/leader/silence.rs
@@ -48,7 +48,9 @@
     /// Zones of which so many machines are late with their reports at once that they are cut off, not
     /// so many dead machines. What runs there may go on, and comes back with the zone; a deletion
     /// would only add a boot. This shows before the first of them counts as silent.
-    fn cut_zones(&self, now: f64) -> BTreeSet<String> {
+    ///
+    /// The second value tells whether this is so for all zones that have more than a few machines.
+    fn cut_zones(&self, now: f64) -> (BTreeSet<String>, bool) {
         let late_s = LATE_REPORTS * self.settings.deployment.workers.report_s;
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for host in self.hosts.iter().filter(|host| !host.returning) {
@@ -58,17 +60,21 @@
                 *late += usize::from(now - since > late_s);
             }
         }
-        zones
+        zones.retain(|_, (there, _)| *there >= FEW);
+        let known = zones.len();
+        let cut: BTreeSet<String> = zones
             .into_iter()
-            .filter(|(_, (there, late))| {
-                *there >= FEW && *late as f64 >= LATE_SHARE * *there as f64
-            })
+            .filter(|(_, (there, late))| *late as f64 >= LATE_SHARE * *there as f64)
             .map(|(zone, _)| zone.to_owned())
-            .collect()
+            .collect();
+        let all = known > 0 && cut.len() == known;
+        (cut, all)
     }
 
     fn note_cut_zones(&mut self, now: f64) {
-        for zone in self.cut_zones(now) {
+        let (cut, all) = self.cut_zones(now);
+        self.fleet.all_cut_since = all.then(|| self.fleet.all_cut_since.unwrap_or(now));
+        for zone in cut {
             if self.fleet.cut_zones.insert(zone.clone(), now).is_none() {
                 tracing::info!(zone, "zone cut off");
             }
@@ -99,8 +105,14 @@
         let quiet_s = self.last_report.map_or(0.0, |at| now - at);
         let nobody = quiet_s > QUIET_REPORTS * self.fleet.report_s && quiet_s < lease_s;
         let unreached = self.hosts.iter().filter(|h| h.unreached.is_some()).count();
-        let cut_off = 2 * unheard > up || 2 * unreached > up || nobody;
         self.note_cut_zones(now);
+        // Zones that fall silent together are no failure of each: this shows before most machines have
+        // missed enough. Should it last, and this node still lead, the machines are dead.
+        let all_cut = self
+            .fleet
+            .all_cut_since
+            .is_some_and(|since| now - since < lease_s);
+        let cut_off = 2 * unheard > up || 2 * unreached > up || nobody || all_cut;
         // A zone that stays away for long is given up: its machines cost more by then than their boots.
         // Once it is back, all its workers get the time to come again.
         let waits = |host: &Host| {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -261,6 +261,33 @@
     }
 }
 
+/// A leader that workers can't reach, nor it them, gives back none of their machines, whatever kind
+/// they are: when all zones fall silent at once, it is the leader that is cut off.
+#[test]
+fn a_leader_cut_off_from_workers_gives_back_nothing() {
+    for nodes in [3, 5] {
+        for seed in 1..=4 {
+            let name = format!("{nodes} controllers, seed {seed}");
+            let mut world = World::sized(seed, nodes, 12);
+            for n in 0..6 {
+                world.user(n, 0.5, (8, 0.0, true, false), None);
+                world.user(20 + n, 1.0, (12, 60.0, false, true), None);
+            }
+            world.run(40.0);
+            assert!(
+                world.machines_in("a", true).len() >= 6,
+                "{name}: spot machines"
+            );
+            assert!(world.mute_leader(9.0), "{name}");
+            world.run(70.0);
+            assert!(world.reigns() >= 2, "{name}: another leads");
+            assert_eq!(world.deleted_busy, Vec::<String>::new(), "{name}");
+            world.run(200.0);
+            world.check(&name);
+        }
+    }
+}
+
 /// A dead machine leaves direct calls unanswered, and is replaced before its lease is half over.
 #[test]
 fn dead_machines_are_replaced_soon() {
