Users' changes: a node uses what its peers leave of the shared budget

Ruled out: the end of the busiest controller (few requests were under way), the state service (no request refused).

Nodes now tell one another at which rate they use that budget; each may use what the others leave, its equal part at least, and only that while it hears nothing of them. The leader's half is untouched. A leader also tells which jobs are suspect, so that its successor begins with probes.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -20,6 +20,14 @@
         }
     }
 
+    /// Changes the rate and the burst from now on. What is there is kept up to the new burst.
+    pub fn set_rate(&mut self, rate: f64, burst: f64, now: f64) {
+        self.level(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
     /// What can be taken now.
     pub fn level(&mut self, now: f64) -> f64 {
         self.level = (self.level + (now - self.at).max(0.0) * self.rate).min(self.burst);
@@ -43,3 +51,16 @@
         self.level = (self.level - count).max(-self.burst);
     }
 }
+
+/// A node's rate out of a budget that all nodes share: its equal part, or all that the others have not
+/// used lately, whichever is more. `others`: the rate at which each other node uses the budget, if
+/// that is known; a node that was not heard is taken to use its equal part.
+pub fn shared_rate(budget: f64, others: &[Option<f64>]) -> f64 {
+    let equal = budget / (others.len() + 1) as f64;
+    let in_use = |rate: &Option<f64>| match rate {
+        Some(rate) if rate.is_finite() => rate.clamp(0.0, budget),
+        _ => equal,
+    };
+    let used: f64 = others.iter().map(in_use).sum();
+    equal.max(budget - used)
+}
--- a/src/bookkeeping/failures.rs
+++ b/src/bookkeeping/failures.rs
@@ -70,6 +70,11 @@
         self.suspect && !before
     }
 
+    /// Takes over an earlier leader's suspicion.
+    pub fn inherit_suspicion(&mut self) {
+        self.suspect = true;
+    }
+
     /// Notes a success: the job is trusted again.
     pub fn note_success(&mut self) {
         *self = JobFailures {
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -6,6 +6,7 @@
 use super::leader::{Leader, Notice, ReportAnswer, STATE_SHARE};
 use super::outbox::{Action, CloudAsk, Outbox, StoreAsk, Tag};
 use super::watch::{News, Watch};
+use crate::bookkeeping::budget;
 use crate::bookkeeping::hosts::Room;
 use crate::bookkeeping::quotas::Quotas;
 use crate::bookkeeping::records::{self, LeaderRecord};
@@ -19,7 +20,7 @@
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// The times of an input.
@@ -56,6 +57,8 @@
     /// Workers that knocked here while another node leads, and when.
     knocks: BTreeMap<String, f64>,
     beat_at: f64,
+    /// When the users' changes were last shared out.
+    shared_at: f64,
     state_ok_at: Option<f64>,
     /// When the state service last refused this node, or left a call of it unanswered.
     doubt_at: f64,
@@ -115,6 +118,7 @@
             ),
             knocks: BTreeMap::new(),
             beat_at: 0.0,
+            shared_at: 0.0,
             state_ok_at: None,
             doubt_at: f64::NEG_INFINITY,
             hold_over_s: times.hold_over_s,
@@ -557,7 +561,7 @@
             Outcome::Won(epoch) => {
                 tracing::info!(epoch, "this node leads");
                 let flavors = self.flavors.clone().unwrap_or_default();
-                self.leader = Some(Leader::new(
+                let mut leader = Leader::new(
                     epoch,
                     self.settings.clone(),
                     self.policy.clone(),
@@ -565,7 +569,9 @@
                     self.hold_over_s,
                     SmallRng::from_rng(&mut self.rng),
                     now,
-                ));
+                );
+                leader.inherit_suspects(self.known_suspects(now));
+                self.leader = Some(leader);
                 self.beat_at = now;
             }
             Outcome::Lost => {
@@ -576,6 +582,16 @@
         }
     }
 
+    /// Jobs that leaders before this one have lately told to be suspect.
+    fn known_suspects(&self, now: f64) -> BTreeSet<String> {
+        let window_s = self.settings.deployment.workers.cancel_s;
+        self.peers
+            .values()
+            .filter(|peer| now - peer.at < window_s)
+            .flat_map(|peer| peer.beat.suspects.iter().cloned())
+            .collect()
+    }
+
     /// Does all that is due.
     pub fn tick(&mut self, now: Now) {
         let t = now.steady;
@@ -656,7 +672,12 @@
             Some(leader) => leader.counts(),
             None => Vec::new(),
         };
+        let suspects = match &self.leader {
+            Some(leader) => leader.suspects(),
+            None => Vec::new(),
+        };
         self.desk.note_counts(&counts);
+        let changes_per_s = self.share_changes(now);
         self.ends.add(self.desk.take_news(), now);
         let beat = Beat {
             label: self.settings.label.clone(),
@@ -667,11 +688,35 @@
                 .is_some_and(|at| now - at < self.report_s()),
             knocks: self.knocks.len() as u32,
             counts,
+            suspects,
+            changes_per_s,
             ends: self.ends.word(now),
         };
         self.out.actions.push(Action::Beat(beat));
     }
 
+    /// Takes the part of the users' changes that peers don't use, and returns the rate at which this
+    /// node has used it since the last time.
+    fn share_changes(&mut self, now: f64) -> f64 {
+        let window_s = self.report_s() * 2.0;
+        let others: Vec<Option<f64>> = self
+            .settings
+            .seeds
+            .iter()
+            .map(|seed| {
+                let peer = self.peers.get(&seed.label);
+                peer.filter(|peer| now - peer.at < window_s)
+                    .map(|peer| peer.beat.changes_per_s)
+            })
+            .collect();
+        let budget = self.settings.deployment.state.write_rps * (1.0 - STATE_SHARE);
+        self.desk
+            .set_changes_rate(budget::shared_rate(budget, &others), now);
+        let since_s = (now - self.shared_at).max(f64::EPSILON);
+        self.shared_at = now;
+        self.desk.take_changes_made() / since_s
+    }
+
     /// A leader that workers can't reach gives up its lease, when they knock at its peers or when
     /// the peers are silent too.
     fn yield_if_unreachable(&mut self, now: f64) {
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -140,6 +140,8 @@
     writing: Calls,
     requests: Bucket,
     changes: Bucket,
+    /// Changes made since `take_changes_made` was last called.
+    changes_made: f64,
     limits: StateLimits,
     patience_s: f64,
     /// No comparison for polls before this time, and how long they are apart.
@@ -155,7 +157,7 @@
 impl Desk {
     /// A desk that may use this share of the state service's limits.
     pub fn new(limits: &StateLimits, share: f64, patience_s: f64) -> Desk {
-        let rate = |all: f64| Bucket::new(all * share, (all * share).max(4.0));
+        let rate = |all: f64| Bucket::new(all * share, burst_of(all * share));
         Desk {
             open: BTreeMap::new(),
             finals: HashMap::new(),
@@ -172,6 +174,7 @@
             writing: Calls::default(),
             requests: rate(limits.rps),
             changes: rate(limits.write_rps),
+            changes_made: 0.0,
             limits: limits.clone(),
             patience_s,
             check_at: 0.0,
@@ -255,6 +258,16 @@
         }
     }
 
+    /// Changes made in the state service since this was last asked.
+    pub fn take_changes_made(&mut self) -> f64 {
+        std::mem::take(&mut self.changes_made)
+    }
+
+    /// Sets the changes a second that this node may make for its users.
+    pub fn set_changes_rate(&mut self, per_s: f64, now: f64) {
+        self.changes.set_rate(per_s, burst_of(per_s), now);
+    }
+
     /// A user polls.
     pub fn poll(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
         if let Some(record) = self.finals.get(id) {
@@ -487,6 +500,7 @@
             return;
         }
         self.changes.force(txn.writes.len() as f64, now);
+        self.changes_made += txn.writes.len() as f64;
         self.requests.force(1.0, now);
         let ask = StoreAsk::Write(self.writing.add(batch, now));
         out.store(ask, StoreCall::Txn(txn), self.patience_s, now);
@@ -678,6 +692,11 @@
     }
 }
 
+/// The burst of a budget: one second's worth, as the state service allows, and some at any rate.
+fn burst_of(per_s: f64) -> f64 {
+    per_s.max(4.0)
+}
+
 fn refuse_out(request: u64, out: &mut Outbox) {
     let why = "the state service is out";
     out.refuse(request, 503, why, Some(RETRY_AFTER_S));
--- a/src/coordination/leader/load.rs
+++ b/src/coordination/leader/load.rs
@@ -115,6 +115,7 @@
         if let Some((revision, listed)) = self.listed_early.take() {
             self.keep_open(revision, listed);
         }
+        self.take_inherited_suspects();
         self.halt_orphans();
         tracing::info!(
             epoch = self.epoch,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -76,6 +76,8 @@
     loading: Option<Loading>,
     early: BTreeMap<String, Report>,
     closed_early: HashSet<String>,
+    /// Jobs that an earlier leader has told to be suspect.
+    inherited_suspects: BTreeSet<String>,
     listed_early: Option<(u64, BTreeSet<String>)>,
     tries: u64,
     requests: Bucket,
@@ -138,6 +140,7 @@
             loading: Some(Loading::everything()),
             early: BTreeMap::new(),
             closed_early: HashSet::new(),
+            inherited_suspects: BTreeSet::new(),
             listed_early: None,
             tries: 0,
             requests: share(state.rps),
--- a/src/coordination/leader/verdicts.rs
+++ b/src/coordination/leader/verdicts.rs
@@ -2,8 +2,10 @@
 
 use super::{AVOID_LEASES, Leader};
 use crate::bookkeeping::jobs::Job;
+use crate::protocol::peer::MAX_SUSPECTS;
 use crate::protocol::worker::{Cause, TaskId};
 use rand::Rng;
+use std::collections::BTreeSet;
 
 /// The shortest wait of a suspect job between two probes, in report intervals.
 const PROBE_REPORTS: f64 = 1.0;
@@ -94,6 +96,28 @@
         }
     }
 
+    /// Jobs that are suspect, for the leader after this one.
+    pub fn suspects(&self) -> Vec<String> {
+        let suspect = self.jobs.iter().filter(|job| job.failures.is_suspect());
+        let ids = suspect.map(|job| job.spec.id.clone());
+        ids.take(MAX_SUSPECTS).collect()
+    }
+
+    /// Takes over the jobs that an earlier leader has told to be suspect: they begin with a probe. What
+    /// it did not tell is found out once more, at the price of the job's whole width.
+    pub fn inherit_suspects(&mut self, suspects: BTreeSet<String>) {
+        self.inherited_suspects = suspects;
+    }
+
+    /// Marks the inherited suspects, once the open jobs are known.
+    pub(super) fn take_inherited_suspects(&mut self) {
+        for id in std::mem::take(&mut self.inherited_suspects) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.failures.inherit_suspicion();
+            }
+        }
+    }
+
     /// A job is over. What its failures told about machines is withdrawn, unless it has succeeded
     /// elsewhere: it may have been at fault itself.
     pub(super) fn withdraw_failures(&mut self, job: &Job) {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -7,6 +7,8 @@
 /// The most jobs whose counts fit into one message.
 pub const MAX_COUNTS: usize = 2000;
 
+/// The most suspect jobs that fit into one message; the others are found to be so once more.
+pub const MAX_SUSPECTS: usize = 500;
 /// The most ends of jobs that fit into one message; others are looked up when somebody asks.
 pub const MAX_ENDED: usize = 1000;
 
@@ -71,6 +73,10 @@
     pub knocks: u32,
     /// From the leader: display counts of the open jobs.
     pub counts: Vec<Counts>,
+    /// From the leader: jobs that are suspect, since their tasks fail on several machines.
+    pub suspects: Vec<String>,
+    /// Changes a second that this node has lately made in the state service for its users.
+    pub changes_per_s: f64,
     /// Jobs that have ended by this node's doing.
     pub ends: Ends,
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -313,11 +313,12 @@
         ("an array", 40, false, 1, |_| {}),
         ("an array of one task", 1, false, 3, |_| {}),
         ("a service", 6, true, 2, |_| {}),
-        ("an array, and the leader is replaced", 40, false, 2, |w| {
+        // The new leader is told which jobs are suspect, and begins with probes.
+        ("an array, and the leader is replaced", 40, false, 1, |w| {
             w.run(60.0);
             assert!(w.restart_leader(5.0));
         }),
-        ("an array, and the leader pauses", 40, false, 2, |w| {
+        ("an array, and the leader pauses", 40, false, 1, |w| {
             w.run(60.0);
             assert!(w.freeze_leader(9.0));
         }),
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -194,6 +194,8 @@
             done: 1,
             running: 2,
         }],
+        suspects: vec!["j-3".into()],
+        changes_per_s: 4.5,
         ends: Ends {
             life: 5,
             first: 8,
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use cedarladder::bookkeeping::budget::shared_rate;
 use cedarladder::bookkeeping::records::{Ending, OverRecord};
 use cedarladder::coordination::desk::Desk;
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
@@ -281,3 +282,89 @@
     overdue.sort_unstable();
     assert_eq!(overdue.len(), 3, "all are idle for too long");
 }
+
+/// What a node may use of a budget that all share: what the others leave, and its equal part at least.
+#[test]
+fn shares_of_a_budget() {
+    let idle = Some(0.0);
+    let cases: [(&str, &[Option<f64>], f64); 8] = [
+        ("alone", &[], 25.0),
+        ("all others are idle", &[idle; 4], 25.0),
+        ("none was heard", &[None; 4], 5.0),
+        (
+            "two were heard, and are idle",
+            &[idle, idle, None, None],
+            15.0,
+        ),
+        ("one is busy", &[Some(12.0), idle, idle, idle], 13.0),
+        ("one uses all", &[Some(25.0), idle, idle, idle], 5.0),
+        ("all use their part", &[Some(5.0); 4], 5.0),
+        (
+            "nonsense",
+            &[Some(f64::NAN), Some(-3.0), Some(f64::INFINITY), Some(1e9)],
+            5.0,
+        ),
+    ];
+    for (name, others, expected) in cases {
+        assert_eq!(shared_rate(25.0, others), expected, "{name}");
+    }
+}
+
+/// Many small jobs submitted at one of five nodes are accepted at once while the other nodes are idle,
+/// and no faster than the node's equal part while it hears nothing of them.
+#[test]
+fn submissions_at_one_of_many_nodes() {
+    let limits = StateLimits {
+        rps: 150.0,
+        write_rps: 50.0,
+        value_kb: 8.0,
+        txn_ops: 40,
+    };
+    for (name, others, most_changes) in [
+        ("idle peers", [Some(0.0); 4], 130),
+        ("unheard peers", [None; 4], 56),
+    ] {
+        let mut desk = Desk::new(&limits, 0.1, 1.25);
+        desk.set_changes_rate(shared_rate(25.0, &others), 0.0);
+        let mut out = Outbox::default();
+        let mut asked: BTreeMap<u64, f64> = BTreeMap::new();
+        let (mut next, mut changes, mut slowest_s) = (0u64, 0, 0.0_f64);
+        // 12 submissions a second for ten seconds; the state service answers at once.
+        for step in 0..500u32 {
+            let now = f64::from(step) * 0.02;
+            if step % 4 == 0 {
+                next += 1;
+                asked.insert(next, now);
+                let job = spec(&format!("j-{next}"), 1);
+                desk.submit(next, job, None, &mut out, now);
+            }
+            desk.drive(&mut out, now);
+            for action in std::mem::take(&mut out.actions) {
+                match action {
+                    Action::Answer {
+                        to, status: 201, ..
+                    } => {
+                        let since = asked.remove(&to).expect("asked for");
+                        slowest_s = slowest_s.max(now - since);
+                    }
+                    Action::Store { tag, call, .. } => {
+                        let Some((StoreAsk::Write(number), _)) = out.store_ask(tag) else {
+                            continue;
+                        };
+                        let StoreCall::Txn(txn) = &call else {
+                            panic!("{call:?}");
+                        };
+                        changes += txn.writes.len();
+                        desk.written(number, StoreReply::Committed(9), &mut out, now);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert!(changes <= most_changes, "{name}: {changes} changes");
+        if others[0].is_some() {
+            assert!(asked.len() <= 1, "{name}: {} wait", asked.len());
+            assert!(slowest_s < 0.1, "{name}: {slowest_s} s");
+        }
+    }
+}
