--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -1,11 +1,11 @@
 //! One node: takes requests, answers and the passing of time, and says what is to be done.
 
-use super::desk::Desk;
 use super::election::{Election, Outcome, Times};
-use super::ends::EndQueue;
+use super::frontend::Frontend;
 use super::leader::{Leader, Notice, ReportAnswer, STATE_SHARE};
 use super::outbox::{Action, CloudAsk, Outbox, StoreAsk, Tag};
-use super::watch::{News, Watch};
+use super::terminations::TerminationQueue;
+use super::watch::{Watch, WatchUpdate};
 use crate::bookkeeping::budget;
 use crate::bookkeeping::hosts::Room;
 use crate::bookkeeping::quotas::Quotas;
@@ -13,7 +13,7 @@
 use crate::policy::Policy;
 use crate::protocol::cloud::{CloudCall, CloudReply, Flavor};
 use crate::protocol::job::{self, JobSpec};
-use crate::protocol::peer::Beat;
+use crate::protocol::peer::Heartbeat;
 use crate::protocol::state::{StoreCall, StoreReply, Txn, Write};
 use crate::protocol::worker::{Commands, Redirect, Report, WorkerReply};
 use crate::protocol::{cbor, state};
@@ -33,7 +33,7 @@
 }
 
 struct Peer {
-    beat: Beat,
+    heartbeat: Heartbeat,
     at: f64,
 }
 
@@ -42,7 +42,7 @@
     settings: Rc<Settings>,
     policy: Rc<Policy>,
     out: Outbox,
-    desk: Desk,
+    frontend: Frontend,
     jobs_watch: Watch,
     leader_watch: Watch,
     election: Election,
@@ -53,10 +53,10 @@
     catalogue_read: bool,
     quotas: Quotas,
     peers: BTreeMap<String, Peer>,
-    ends: EndQueue,
+    ends: TerminationQueue,
     /// Workers that knocked here while another node leads, and when.
-    knocks: BTreeMap<String, f64>,
-    beat_at: f64,
+    redirected: BTreeMap<String, f64>,
+    heartbeat_at: f64,
     /// When the users' changes were last shared out.
     shared_at: f64,
     state_ok_at: Option<f64>,
@@ -66,8 +66,8 @@
     rng: SmallRng,
 }
 
-/// Workers whose knocks are remembered.
-const MAX_KNOCKS: usize = 4096;
+/// Workers whose redirected are remembered.
+const MAX_REDIRECTED: usize = 4096;
 
 /// Waits of the watch on the open jobs in a report interval: the longest time by which the view of them
 /// is less current than it could be.
@@ -89,7 +89,7 @@
         let share = (1.0 - STATE_SHARE) / nodes;
         Controller {
             out: Outbox::default(),
-            desk: Desk::new(&settings.deployment.state, share, patience_s),
+            frontend: Frontend::new(&settings.deployment.state, share, patience_s),
             jobs_watch: Watch::new(
                 records::OPEN,
                 StoreAsk::Mirror,
@@ -110,14 +110,14 @@
             catalogue_read: false,
             quotas: Quotas::new(&settings.deployment.teams),
             peers: BTreeMap::new(),
-            ends: EndQueue::new(
+            ends: TerminationQueue::new(
                 &settings.label,
                 seed,
                 settings.seeds.iter().map(|seed| seed.label.clone()),
                 workers.cancel_s,
             ),
-            knocks: BTreeMap::new(),
-            beat_at: 0.0,
+            redirected: BTreeMap::new(),
+            heartbeat_at: 0.0,
             shared_at: 0.0,
             state_ok_at: None,
             doubt_at: f64::NEG_INFINITY,
@@ -168,10 +168,10 @@
             (Some("v1"), ..) => self.report(to, body, now.steady),
             (_, None, ..) => self.submit(to, body, now),
             (_, Some(id), None, _) if job::valid_id(id) => {
-                self.desk.poll(to, id, &mut self.out, now.steady);
+                self.frontend.poll(to, id, &mut self.out, now.steady);
             }
             (_, Some(id), Some(_), _) if job::valid_id(id) => {
-                self.desk.cancel(to, id, &mut self.out, now.steady);
+                self.frontend.cancel(to, id, &mut self.out, now.steady);
             }
             _ => self.out.refuse(to, 404, "no such job", None),
         }
@@ -192,7 +192,7 @@
             return;
         };
         let verdict = self.could_run(&spec, &flavors);
-        self.desk
+        self.frontend
             .submit(to, spec, verdict.err(), &mut self.out, now.steady);
     }
 
@@ -226,7 +226,7 @@
         let better = self
             .peers
             .values()
-            .any(|peer| peer.beat.state_ok && now - peer.at < window_s);
+            .any(|peer| peer.heartbeat.state_ok && now - peer.at < window_s);
         if self.flavors.is_some() && self.jobs_watch.listed() && (own || !better) {
             self.out.answer(to, 200, &"ok");
         } else {
@@ -244,7 +244,7 @@
         let may_renew = self.may_renew(now);
         let may_start = self.may_start(now);
         if let Some(leader) = &mut self.leader {
-            let open = &self.desk.open;
+            let open = &self.frontend.open;
             let is_open = |id: &str| open.contains_key(id);
             match leader.report(&report, may_renew, may_start, is_open, now) {
                 ReportAnswer::Orders(orders) => {
@@ -266,8 +266,8 @@
                 ReportAnswer::Superseded => {}
             }
         }
-        if self.knocks.len() < MAX_KNOCKS {
-            self.knocks.insert(report.host, now);
+        if self.redirected.len() < MAX_REDIRECTED {
+            self.redirected.insert(report.host, now);
         }
         let foreman = self.foreman(now);
         self.out.answer(to, 421, &Redirect { foreman });
@@ -295,10 +295,12 @@
         let fresh = self
             .peers
             .values()
-            .filter(|peer| now - peer.at < self.report_s() && peer.beat.epoch > 0)
-            .max_by_key(|peer| peer.beat.epoch);
+            .filter(|peer| now - peer.at < self.report_s() && peer.heartbeat.epoch > 0)
+            .max_by_key(|peer| peer.heartbeat.epoch);
         let known = match fresh {
-            Some(peer) if peer.beat.epoch >= self.election.highest() => peer.beat.leader.clone(),
+            Some(peer) if peer.heartbeat.epoch >= self.election.highest() => {
+                peer.heartbeat.leader.clone()
+            }
             _ => self.election.leader().map(str::to_owned),
         };
         known.filter(|label| *label != self.settings.label)
@@ -312,7 +314,7 @@
             return;
         };
         let t = now.steady;
-        let desk_only = matches!(
+        let frontend_only = matches!(
             ask,
             StoreAsk::Check(_) | StoreAsk::Look(_) | StoreAsk::Renew | StoreAsk::Write(_)
         );
@@ -324,28 +326,28 @@
         match ask {
             StoreAsk::Mirror => {
                 for news in self.jobs_watch.reply(reply, sent, t) {
-                    self.job_news(news, now);
+                    self.apply_job_update(news, now);
                 }
             }
             StoreAsk::LeaderWatch => {
                 for news in self.leader_watch.reply(reply, sent, t) {
-                    self.leader_news(news, t);
+                    self.apply_leader_update(news, t);
                 }
             }
             StoreAsk::Grant | StoreAsk::Take | StoreAsk::Renew | StoreAsk::Drop => {
                 let outcome = self.election.reply(&ask, &reply, sent, &mut self.out, t);
                 self.follow_outcome(outcome, t);
             }
-            StoreAsk::Check(call) => self.desk.checked(call, reply, &mut self.out, t),
+            StoreAsk::Check(call) => self.frontend.checked(call, reply, &mut self.out, t),
             StoreAsk::Write(call) => {
-                let opened = self.desk.written(call, reply, &mut self.out, t);
+                let opened = self.frontend.written(call, reply, &mut self.out, t);
                 if let Some(leader) = &mut self.leader {
                     for (stamp, spec) in opened {
                         leader.opened(stamp, &spec, t, now.wall);
                     }
                 }
             }
-            StoreAsk::Look(id) => self.desk.looked(&id, reply, &mut self.out, t),
+            StoreAsk::Look(id) => self.frontend.looked(&id, reply, &mut self.out, t),
             StoreAsk::Load(epoch) => {
                 if let Some(leader) = self.leader_of(epoch) {
                     leader.loaded(reply, t, now.wall);
@@ -376,15 +378,15 @@
             StoreAsk::Ignored => {}
         }
         self.tell_ended();
-        if !desk_only {
+        if !frontend_only {
             self.drive(t);
         }
     }
 
-    /// Tells the leader of the jobs that the desk has learnt to be over: from its own transactions,
+    /// Tells the leader of the jobs that the frontend has learnt to be over: from its own transactions,
     /// from a look, or from a peer, long before the watch may tell.
     fn tell_ended(&mut self) {
-        for id in self.desk.take_over() {
+        for id in self.frontend.take_over() {
             if let Some(leader) = &mut self.leader {
                 leader.closed(&id);
             }
@@ -441,30 +443,30 @@
     }
 
     /// Takes a peer's word.
-    pub fn beat(&mut self, beat: Beat, now: Now) {
+    pub fn heartbeat(&mut self, heartbeat: Heartbeat, now: Now) {
         let known = self
             .settings
             .seeds
             .iter()
-            .any(|seed| seed.label == beat.label);
+            .any(|seed| seed.label == heartbeat.label);
         if !known {
             return;
         }
-        let outcome = self.election.notice(beat.epoch);
+        let outcome = self.election.notice(heartbeat.epoch);
         self.follow_outcome(outcome, now.steady);
-        self.ends.heard(&beat.label, &beat.ends);
-        self.desk.note_ended(&beat.ends.list);
+        self.ends.heard(&heartbeat.label, &heartbeat.ends);
+        self.frontend.note_ended(&heartbeat.ends.list);
         self.tell_ended();
         match &mut self.leader {
-            Some(leader) if beat.epoch >= leader.epoch() => {
-                leader.informed(&beat.label, now.steady);
+            Some(leader) if heartbeat.epoch >= leader.epoch() => {
+                leader.informed(&heartbeat.label, now.steady);
             }
             Some(_) => {}
-            None => self.desk.note_counts(&beat.counts),
+            None => self.frontend.note_counts(&heartbeat.counts),
         }
-        let label = beat.label.clone();
+        let label = heartbeat.label.clone();
         let at = now.steady;
-        self.peers.insert(label, Peer { beat, at });
+        self.peers.insert(label, Peer { heartbeat, at });
     }
 
     fn set_flavors(&mut self, flavors: Rc<Vec<Flavor>>) {
@@ -474,9 +476,9 @@
         self.flavors = Some(flavors);
     }
 
-    fn job_news(&mut self, news: News, now: Now) {
+    fn apply_job_update(&mut self, news: WatchUpdate, now: Now) {
         match news {
-            News::Reset(items, revision) => {
+            WatchUpdate::Reset(items, revision) => {
                 let listed: BTreeMap<String, state::Item> = items
                     .into_iter()
                     .filter_map(|item| {
@@ -485,7 +487,7 @@
                     })
                     .collect();
                 let closed: Vec<String> = self
-                    .desk
+                    .frontend
                     .open
                     .iter()
                     .filter(|(id, (stamp, _))| *stamp <= revision && !listed.contains_key(*id))
@@ -501,12 +503,12 @@
                     self.job_opened(&id, item.stamp, &item.value, now);
                 }
             }
-            News::Set(key, value, stamp) => {
+            WatchUpdate::Set(key, value, stamp) => {
                 if let Some(id) = key.strip_prefix(records::OPEN) {
                     self.job_opened(id, stamp, &value, now);
                 }
             }
-            News::Removed(key) => {
+            WatchUpdate::Removed(key) => {
                 if let Some(id) = key.strip_prefix(records::OPEN) {
                     self.job_closed(id);
                 }
@@ -520,34 +522,38 @@
                 if let Some(leader) = &mut self.leader {
                     leader.opened(stamp, &spec, now.steady, now.wall);
                 }
-                self.desk.note_open(stamp, spec);
+                self.frontend.note_open(stamp, spec);
             }
             Err(error) => tracing::error!(id, %error, "unreadable job"),
         }
     }
 
     fn job_closed(&mut self, id: &str) {
-        self.desk.note_closed(id);
+        self.frontend.note_closed(id);
         if let Some(leader) = &mut self.leader {
             leader.closed(id);
         }
     }
 
-    fn leader_news(&mut self, news: News, now: f64) {
+    fn apply_leader_update(&mut self, news: WatchUpdate, now: f64) {
         let jitter = self.rng.random::<f64>();
         let outcome = match news {
-            News::Reset(items, _) => {
+            WatchUpdate::Reset(items, _) => {
                 let known = items
                     .iter()
                     .find(|item| item.key == records::LEADER)
                     .and_then(|item| Some((read_leader(&item.value)?, item.stamp)));
                 self.election.observe(known, jitter, now)
             }
-            News::Set(key, value, stamp) if key == records::LEADER => match read_leader(&value) {
-                Some(record) => self.election.observe(Some((record, stamp)), jitter, now),
-                None => Outcome::Same,
-            },
-            News::Removed(key) if key == records::LEADER => self.election.removed(jitter, now),
+            WatchUpdate::Set(key, value, stamp) if key == records::LEADER => {
+                match read_leader(&value) {
+                    Some(record) => self.election.observe(Some((record, stamp)), jitter, now),
+                    None => Outcome::Same,
+                }
+            }
+            WatchUpdate::Removed(key) if key == records::LEADER => {
+                self.election.removed(jitter, now)
+            }
             _ => Outcome::Same,
         };
         self.follow_outcome(outcome, now);
@@ -572,7 +578,7 @@
                 );
                 leader.inherit_suspects(self.known_suspects(now));
                 self.leader = Some(leader);
-                self.beat_at = now;
+                self.heartbeat_at = now;
             }
             Outcome::Lost => {
                 if let Some(leader) = self.leader.take() {
@@ -588,7 +594,7 @@
         self.peers
             .values()
             .filter(|peer| now - peer.at < window_s)
-            .flat_map(|peer| peer.beat.suspects.iter().cloned())
+            .flat_map(|peer| peer.heartbeat.suspects.iter().cloned())
             .collect()
     }
 
@@ -603,8 +609,8 @@
             .drive(watching, self.jobs_watch.current_at(), &mut self.out, t);
         self.follow_outcome(outcome, t);
         self.drive_catalogue(t);
-        self.desk.drive(&mut self.out, t);
-        self.drive_beats(t);
+        self.frontend.drive(&mut self.out, t);
+        self.drive_heartbeats(t);
         self.yield_if_unreachable(t);
         self.drive(t);
     }
@@ -622,7 +628,7 @@
         for notice in leader.take_notices() {
             let outcome = match notice {
                 Notice::Over(id, record) => {
-                    self.desk.announce_over(&id, record);
+                    self.frontend.announce_over(&id, record);
                     Outcome::Same
                 }
                 Notice::Epoch(epoch) => self.election.notice(epoch),
@@ -660,14 +666,14 @@
         }
     }
 
-    fn drive_beats(&mut self, now: f64) {
-        if now < self.beat_at {
+    fn drive_heartbeats(&mut self, now: f64) {
+        if now < self.heartbeat_at {
             return;
         }
-        self.beat_at = now + self.report_s() / 2.5;
+        self.heartbeat_at = now + self.report_s() / 2.5;
         self.out.log_refused();
         let window_s = self.report_s() * 2.0;
-        self.knocks.retain(|_, at| now - *at < window_s);
+        self.redirected.retain(|_, at| now - *at < window_s);
         let counts = match &self.leader {
             Some(leader) => leader.counts(),
             None => Vec::new(),
@@ -676,23 +682,23 @@
             Some(leader) => leader.suspects(),
             None => Vec::new(),
         };
-        self.desk.note_counts(&counts);
+        self.frontend.note_counts(&counts);
         let changes_per_s = self.share_changes(now);
-        self.ends.add(self.desk.take_news(), now);
-        let beat = Beat {
+        self.ends.add(self.frontend.take_news(), now);
+        let heartbeat = Heartbeat {
             label: self.settings.label.clone(),
             epoch: self.election.highest(),
             leader: self.election.leader().map(str::to_owned),
             state_ok: self
                 .state_ok_at
                 .is_some_and(|at| now - at < self.report_s()),
-            knocks: self.knocks.len() as u32,
+            redirected: self.redirected.len() as u32,
             counts,
             suspects,
             changes_per_s,
             ends: self.ends.word(now),
         };
-        self.out.actions.push(Action::Beat(beat));
+        self.out.actions.push(Action::Heartbeat(heartbeat));
     }
 
     /// Takes the part of the users' changes that peers don't use, and returns the rate at which this
@@ -706,15 +712,15 @@
             .map(|seed| {
                 let peer = self.peers.get(&seed.label);
                 peer.filter(|peer| now - peer.at < window_s)
-                    .map(|peer| peer.beat.changes_per_s)
+                    .map(|peer| peer.heartbeat.changes_per_s)
             })
             .collect();
         let budget = self.settings.deployment.state.write_rps * (1.0 - STATE_SHARE);
-        self.desk
+        self.frontend
             .set_changes_rate(budget::shared_rate(budget, &others), now);
         let since_s = (now - self.shared_at).max(f64::EPSILON);
         self.shared_at = now;
-        self.desk.take_changes_made() / since_s
+        self.frontend.take_changes_made() / since_s
     }
 
     /// A leader that workers can't reach gives up its lease, when they knock at its peers or when
@@ -732,7 +738,7 @@
             .filter(|peer| now - peer.at < fresh)
             .peekable();
         let alone = heard.peek().is_none();
-        let knocked = heard.any(|peer| peer.beat.knocks > 0);
+        let knocked = heard.any(|peer| peer.heartbeat.redirected > 0);
         if knocked || (alone && silent_s > self.settings.deployment.workers.lease_s / 2.0) {
             tracing::info!("workers can't reach this node: giving up the lead");
             let outcome = self.election.give_up(&mut self.out, now);
--- a/src/coordination/desk.rs
+++ b/src/coordination/frontend.rs
@@ -1,4 +1,4 @@
-//! The users' desk: submits, polls and cancels, the same on every node.
+//! The user API: submits, polls and cancels, the same on every node.
 //!
 //! A final state never changes and is answered from memory. Any other answer is confirmed by the
 //! state service, many at a time: open jobs never change their key, so a comparison of versions
@@ -9,7 +9,7 @@
 use crate::bookkeeping::records::{self, Ending, OverRecord};
 use crate::protocol::cbor;
 use crate::protocol::job::{JobSpec, JobStatus, JobView};
-use crate::protocol::peer::{Counts, Ended, MAX_ENDED};
+use crate::protocol::peer::{Counts, MAX_TERMINATIONS, Termination};
 use crate::protocol::state::{CONDITIONS_PER_OP, Condition, StoreCall, StoreReply, Txn, Write};
 use crate::settings::StateLimits;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -17,25 +17,25 @@
 
 /// What a user wants.
 #[derive(Debug, Clone)]
-enum Wish {
+enum RequestKind {
     Poll,
     Submit(Rc<JobSpec>),
     /// Submitted, but can never run: refused for this reason, unless it was accepted before.
-    Hopeless(&'static str),
+    Unsatisfiable(&'static str),
     Cancel,
 }
 
 #[derive(Debug, Clone)]
-struct Ticket {
+struct PendingRequest {
     request: u64,
     id: String,
-    wish: Wish,
+    kind: RequestKind,
     until: f64,
     /// The comparison on its way takes the job to be open.
     compared_open: bool,
 }
 
-impl Ticket {
+impl PendingRequest {
     /// Whether a failed comparison may be about this job.
     fn concerned(&self, failed: &[String]) -> bool {
         failed.is_empty()
@@ -47,9 +47,9 @@
 /// A look at the keys of one job, for those who ask.
 #[derive(Debug, Default)]
 struct Look {
-    tickets: Vec<Ticket>,
+    waiting: Vec<PendingRequest>,
     /// Those who came while the look was on its way: what it finds may be older than their request.
-    later: Vec<Ticket>,
+    later: Vec<PendingRequest>,
     stage: Stage,
     /// The watch has meanwhile told that the job is closed: an open key that it finds is old.
     overtaken: bool,
@@ -67,7 +67,7 @@
 #[derive(Debug, Default)]
 struct Calls {
     next: u64,
-    on_the_way: HashMap<u64, Vec<Ticket>>,
+    on_the_way: HashMap<u64, Vec<PendingRequest>>,
     latest: f64,
 }
 
@@ -84,21 +84,21 @@
         count == 0 || (count < MAX_CALLS && now - self.latest > SLOW * patience_s)
     }
 
-    fn add(&mut self, tickets: Vec<Ticket>, now: f64) -> u64 {
+    fn add(&mut self, waiting: Vec<PendingRequest>, now: f64) -> u64 {
         self.next += 1;
         self.latest = now;
-        self.on_the_way.insert(self.next, tickets);
+        self.on_the_way.insert(self.next, waiting);
         self.next
     }
 
-    fn end(&mut self, call: u64) -> Vec<Ticket> {
+    fn end(&mut self, call: u64) -> Vec<PendingRequest> {
         self.on_the_way.remove(&call).unwrap_or_default()
     }
 }
 
 /// What is known of a job's key.
 #[derive(Debug, Clone)]
-enum Fate {
+enum KeyState {
     Open(u64, Rc<JobSpec>),
     Over(OverRecord),
     Never,
@@ -118,21 +118,21 @@
 /// Jobs looked up at a time.
 const MAX_LOOKS: usize = 8;
 
-/// A node's desk.
+/// A node's frontend.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Frontend {
     /// Open jobs, as the watch shows them; perhaps late.
     pub open: OpenJobs,
     finals: HashMap<String, OverRecord>,
     finals_order: VecDeque<String>,
     /// Jobs that have ended by this node's doing, for its next word to the peers.
-    news: Vec<Ended>,
+    news: Vec<Termination>,
     /// Jobs learnt to be over, for this node's leader.
     over: Vec<String>,
     /// Display counts, from the leader.
     pub counts: HashMap<String, (u32, u32)>,
-    polls: VecDeque<Ticket>,
-    writes: VecDeque<Ticket>,
+    polls: VecDeque<PendingRequest>,
+    writes: VecDeque<PendingRequest>,
     looks: HashMap<String, Look>,
     look_queue: VecDeque<String>,
     looking: usize,
@@ -154,11 +154,11 @@
 /// When users are told to come back.
 const RETRY_AFTER_S: u32 = 1;
 
-impl Desk {
-    /// A desk that may use this share of the state service's limits.
-    pub fn new(limits: &StateLimits, share: f64, patience_s: f64) -> Desk {
+impl Frontend {
+    /// A frontend that may use this share of the state service's limits.
+    pub fn new(limits: &StateLimits, share: f64, patience_s: f64) -> Frontend {
         let rate = |all: f64| Bucket::new(all * share, burst_of(all * share));
-        Desk {
+        Frontend {
             open: BTreeMap::new(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
@@ -216,8 +216,8 @@
 
     /// Notes how a job ended by this node's doing, which is written down.
     pub fn announce_over(&mut self, id: &str, record: OverRecord) {
-        if self.news.len() < MAX_ENDED {
-            self.news.push(Ended {
+        if self.news.len() < MAX_TERMINATIONS {
+            self.news.push(Termination {
                 job: id.to_owned(),
                 aborted: record.ending == Ending::Aborted,
                 done: record.done,
@@ -232,12 +232,12 @@
     }
 
     /// What the peers have not been told yet.
-    pub fn take_news(&mut self) -> Vec<Ended> {
+    pub fn take_news(&mut self) -> Vec<Termination> {
         std::mem::take(&mut self.news)
     }
 
     /// Takes a peer's word of jobs that have ended; ends are for ever.
-    pub fn note_ended(&mut self, ended: &[Ended]) {
+    pub fn note_ended(&mut self, ended: &[Termination]) {
         for e in ended {
             let ending = if e.aborted {
                 Ending::Aborted
@@ -275,7 +275,7 @@
             out.answer(request, 200, &view);
             return;
         }
-        self.admit(request, id, Wish::Poll, out, now);
+        self.admit(request, id, RequestKind::Poll, out, now);
     }
 
     /// A user submits a job, which may be one that can never run.
@@ -283,7 +283,7 @@
         &mut self,
         request: u64,
         spec: JobSpec,
-        hopeless: Option<&'static str>,
+        unsatisfiable: Option<&'static str>,
         out: &mut Outbox,
         now: f64,
     ) {
@@ -293,11 +293,11 @@
             return;
         }
         let id = spec.id.clone();
-        let wish = match hopeless {
-            Some(why) => Wish::Hopeless(why),
-            None => Wish::Submit(Rc::new(spec)),
+        let kind = match unsatisfiable {
+            Some(why) => RequestKind::Unsatisfiable(why),
+            None => RequestKind::Submit(Rc::new(spec)),
         };
-        self.admit(request, &id, wish, out, now);
+        self.admit(request, &id, kind, out, now);
     }
 
     /// A user cancels.
@@ -307,16 +307,16 @@
             out.answer_state(request, 200, id, status);
             return;
         }
-        self.admit(request, id, Wish::Cancel, out, now);
+        self.admit(request, id, RequestKind::Cancel, out, now);
     }
 
-    fn admit(&mut self, request: u64, id: &str, wish: Wish, out: &mut Outbox, now: f64) {
+    fn admit(&mut self, request: u64, id: &str, kind: RequestKind, out: &mut Outbox, now: f64) {
         let waiting = self.polls.len()
             + self.writes.len()
             + self
                 .looks
                 .values()
-                .map(|look| look.tickets.len() + look.later.len())
+                .map(|look| look.waiting.len() + look.later.len())
                 .sum::<usize>();
         if waiting >= MAX_WAITING {
             out.refuse(request, 429, "too much at once", Some(RETRY_AFTER_S));
@@ -330,37 +330,37 @@
             refuse_out(request, out);
             return;
         }
-        let patience_s = match wish {
-            Wish::Poll => POLL_PATIENCE_S.min(1.5 * self.patience_s),
+        let patience_s = match kind {
+            RequestKind::Poll => POLL_PATIENCE_S.min(1.5 * self.patience_s),
             _ => 1.5 * self.patience_s,
         };
-        let ticket = Ticket {
+        let pending = PendingRequest {
             request,
             id: id.to_owned(),
-            wish,
+            kind,
             until: now + patience_s,
             compared_open: false,
         };
-        match ticket.wish {
-            Wish::Poll => self.polls.push_back(ticket),
-            Wish::Submit(_) => self.writes.push_back(ticket),
-            Wish::Cancel if self.open.contains_key(id) => self.writes.push_back(ticket),
-            Wish::Cancel | Wish::Hopeless(_) => self.look(ticket),
+        match pending.kind {
+            RequestKind::Poll => self.polls.push_back(pending),
+            RequestKind::Submit(_) => self.writes.push_back(pending),
+            RequestKind::Cancel if self.open.contains_key(id) => self.writes.push_back(pending),
+            RequestKind::Cancel | RequestKind::Unsatisfiable(_) => self.look(pending),
         }
         self.drive(out, now);
     }
 
-    fn look(&mut self, ticket: Ticket) {
-        let id = ticket.id.clone();
+    fn look(&mut self, pending: PendingRequest) {
+        let id = pending.id.clone();
         let look = self.looks.entry(id.clone()).or_default();
         if look.stage != Stage::Queued {
-            look.later.push(ticket);
+            look.later.push(pending);
             return;
         }
-        if look.tickets.is_empty() {
+        if look.waiting.is_empty() {
             self.look_queue.push_back(id);
         }
-        look.tickets.push(ticket);
+        look.waiting.push(pending);
     }
 
     fn look_at(&mut self, id: &str, stage: Stage, out: &mut Outbox, now: f64) {
@@ -395,7 +395,7 @@
     }
 
     fn expire(&mut self, out: &mut Outbox, now: f64) {
-        let late = |ticket: &Ticket| now >= ticket.until;
+        let late = |pending: &PendingRequest| now >= pending.until;
         let mut dropped = Vec::new();
         for queue in [&mut self.polls, &mut self.writes] {
             if queue.iter().any(late) {
@@ -419,19 +419,19 @@
         self.check_at = now + self.check_every_s;
         let most = CONDITIONS_PER_OP * self.limits.txn_ops / 2;
         let count = self.polls.len().min(most);
-        let mut batch: Vec<Ticket> = self.polls.drain(..count).collect();
+        let mut batch: Vec<PendingRequest> = self.polls.drain(..count).collect();
         let mut ids = HashSet::new();
         let mut when = Vec::new();
-        for ticket in &mut batch {
-            ticket.compared_open = self.open.contains_key(&ticket.id);
-            if ids.insert(ticket.id.clone()) {
-                match self.open.get(&ticket.id) {
+        for pending in &mut batch {
+            pending.compared_open = self.open.contains_key(&pending.id);
+            if ids.insert(pending.id.clone()) {
+                match self.open.get(&pending.id) {
                     Some((stamp, _)) => {
-                        when.push(Condition::new(records::open(&ticket.id), *stamp))
+                        when.push(Condition::new(records::open(&pending.id), *stamp))
                     }
                     None => {
-                        when.push(Condition::new(records::open(&ticket.id), 0));
-                        when.push(Condition::new(records::over(&ticket.id), 0));
+                        when.push(Condition::new(records::open(&pending.id), 0));
+                        when.push(Condition::new(records::over(&pending.id), 0));
                     }
                 }
             }
@@ -450,25 +450,25 @@
         }
         let level = self.changes.level(now).min(self.limits.txn_ops as f64);
         let mut txn = Txn::default();
-        let mut batch: Vec<Ticket> = Vec::new();
+        let mut batch: Vec<PendingRequest> = Vec::new();
         let mut later = VecDeque::new();
         let mut bytes = 0;
-        while let Some(ticket) = self.writes.pop_front() {
+        while let Some(pending) = self.writes.pop_front() {
             // Two wishes for the same job don't go into one transaction.
-            if batch.iter().any(|other| other.id == ticket.id) {
-                later.push_back(ticket);
+            if batch.iter().any(|other| other.id == pending.id) {
+                later.push_back(pending);
                 continue;
             }
-            let open = records::open(&ticket.id);
-            let over = records::over(&ticket.id);
-            let (stamp, writes) = match &ticket.wish {
-                Wish::Submit(spec) => (0, vec![Write::set(open.clone(), spec.as_ref())]),
+            let open = records::open(&pending.id);
+            let over = records::over(&pending.id);
+            let (stamp, writes) = match &pending.kind {
+                RequestKind::Submit(spec) => (0, vec![Write::set(open.clone(), spec.as_ref())]),
                 _ => {
-                    let Some((stamp, _)) = self.open.get(&ticket.id) else {
-                        self.look(ticket);
+                    let Some((stamp, _)) = self.open.get(&pending.id) else {
+                        self.look(pending);
                         continue;
                     };
-                    let done = self.counts.get(&ticket.id).map_or(0, |(done, _)| *done);
+                    let done = self.counts.get(&pending.id).map_or(0, |(done, _)| *done);
                     let record = OverRecord {
                         ending: Ending::Aborted,
                         done,
@@ -484,17 +484,17 @@
             let full = txn.writes.len() + writes.len() > level as usize
                 || (!batch.is_empty() && bytes + size > crate::protocol::state::TXN_BYTES / 2);
             if full {
-                later.push_back(ticket);
+                later.push_back(pending);
                 break;
             }
             bytes += size;
             txn.when.push(Condition::new(open, stamp));
             txn.when.push(Condition::new(over, 0));
             txn.writes.extend(writes);
-            batch.push(ticket);
+            batch.push(pending);
         }
-        while let Some(ticket) = later.pop_back() {
-            self.writes.push_front(ticket);
+        while let Some(pending) = later.pop_back() {
+            self.writes.push_front(pending);
         }
         if batch.is_empty() {
             return;
@@ -513,18 +513,18 @@
     /// The answer to the comparison for polls.
     pub fn checked(&mut self, call: u64, reply: StoreReply, out: &mut Outbox, now: f64) {
         self.note_reply(&reply, now);
-        for ticket in self.checking.end(call) {
+        for pending in self.checking.end(call) {
             match &reply {
-                StoreReply::Committed(_) => self.answer_poll(ticket, out),
+                StoreReply::Committed(_) => self.answer_poll(pending, out),
                 StoreReply::Conflict(failed) => {
-                    if ticket.concerned(failed) {
-                        self.look(ticket);
+                    if pending.concerned(failed) {
+                        self.look(pending);
                     } else {
-                        self.polls.push_back(ticket);
+                        self.polls.push_back(pending);
                     }
                 }
-                StoreReply::Busy => self.polls.push_back(ticket),
-                _ => refuse_out(ticket.request, out),
+                StoreReply::Busy => self.polls.push_back(pending),
+                _ => refuse_out(pending.request, out),
             }
         }
         self.drive(out, now);
@@ -532,15 +532,15 @@
 
     /// Answers a poll by a comparison that held. What has become known since then is newer and
     /// goes first; a job that was open and has been closed since is looked up, never denied.
-    fn answer_poll(&mut self, ticket: Ticket, out: &mut Outbox) {
-        if let Some(record) = self.finals.get(&ticket.id) {
-            out.answer(ticket.request, 200, &over_view(&ticket.id, record));
-        } else if self.open.contains_key(&ticket.id) {
-            out.answer(ticket.request, 200, &self.open_view(&ticket.id));
-        } else if ticket.compared_open {
-            self.look(ticket);
+    fn answer_poll(&mut self, pending: PendingRequest, out: &mut Outbox) {
+        if let Some(record) = self.finals.get(&pending.id) {
+            out.answer(pending.request, 200, &over_view(&pending.id, record));
+        } else if self.open.contains_key(&pending.id) {
+            out.answer(pending.request, 200, &self.open_view(&pending.id));
+        } else if pending.compared_open {
+            self.look(pending);
         } else {
-            out.refuse(ticket.request, 404, "no such job", None);
+            out.refuse(pending.request, 404, "no such job", None);
         }
     }
 
@@ -570,42 +570,42 @@
         self.note_reply(&reply, now);
         let mut opened = Vec::new();
         let batch = self.writing.end(call);
-        for ticket in batch {
+        for pending in batch {
             match &reply {
-                StoreReply::Committed(stamp) => match &ticket.wish {
-                    Wish::Submit(spec) => {
-                        self.open.insert(ticket.id.clone(), (*stamp, spec.clone()));
+                StoreReply::Committed(stamp) => match &pending.kind {
+                    RequestKind::Submit(spec) => {
+                        self.open.insert(pending.id.clone(), (*stamp, spec.clone()));
                         tracing::debug!(
-                            job = ticket.id,
+                            job = pending.id,
                             class = spec.class,
                             tasks = spec.tasks,
                             "accepted"
                         );
                         opened.push((*stamp, spec.clone()));
-                        out.answer_state(ticket.request, 201, &ticket.id, JobStatus::Queued);
+                        out.answer_state(pending.request, 201, &pending.id, JobStatus::Queued);
                     }
                     _ => {
-                        let done = self.counts.get(&ticket.id).map_or(0, |(done, _)| *done);
+                        let done = self.counts.get(&pending.id).map_or(0, |(done, _)| *done);
                         let record = OverRecord {
                             ending: Ending::Aborted,
                             done,
                         };
-                        tracing::debug!(job = ticket.id, "cancelled");
-                        self.announce_over(&ticket.id, record);
-                        out.answer_state(ticket.request, 200, &ticket.id, JobStatus::Aborted);
+                        tracing::debug!(job = pending.id, "cancelled");
+                        self.announce_over(&pending.id, record);
+                        out.answer_state(pending.request, 200, &pending.id, JobStatus::Aborted);
                     }
                 },
                 StoreReply::Conflict(failed) => {
-                    if ticket.concerned(failed) {
-                        self.look(ticket);
+                    if pending.concerned(failed) {
+                        self.look(pending);
                     } else {
-                        self.writes.push_back(ticket);
+                        self.writes.push_back(pending);
                     }
                 }
-                StoreReply::Busy => self.writes.push_back(ticket),
+                StoreReply::Busy => self.writes.push_back(pending),
                 // It may have been applied: look, and answer by what is there.
-                StoreReply::Silent => self.look(ticket),
-                _ => refuse_out(ticket.request, out),
+                StoreReply::Silent => self.look(pending),
+                _ => refuse_out(pending.request, out),
             }
         }
         self.drive(out, now);
@@ -617,76 +617,85 @@
     pub fn looked(&mut self, id: &str, reply: StoreReply, out: &mut Outbox, now: f64) {
         self.note_reply(&reply, now);
         let stage = self.looks.get(id).map_or(Stage::Queued, |look| look.stage);
-        let fate = match reply {
+        let state = match reply {
             StoreReply::Found(item) if item.key == records::open(id) => {
                 match cbor::from_value::<JobSpec>(&item.value) {
-                    Ok(spec) => Some(Fate::Open(item.stamp, Rc::new(spec))),
+                    Ok(spec) => Some(KeyState::Open(item.stamp, Rc::new(spec))),
                     Err(_) => None,
                 }
             }
-            StoreReply::Found(item) => cbor::from_value(&item.value).ok().map(Fate::Over),
+            StoreReply::Found(item) => cbor::from_value(&item.value).ok().map(KeyState::Over),
             StoreReply::Missing if stage == Stage::Open => {
                 self.look_at(id, Stage::Over, out, now);
                 return;
             }
-            StoreReply::Missing => Some(Fate::Never),
+            StoreReply::Missing => Some(KeyState::Never),
             _ => None,
         };
         self.looking = self.looking.saturating_sub(1);
         let Some(look) = self.looks.remove(id) else {
             return;
         };
-        if look.overtaken && matches!(fate, Some(Fate::Open(..))) {
-            for ticket in look.tickets.into_iter().chain(look.later) {
-                self.look(ticket);
+        if look.overtaken && matches!(state, Some(KeyState::Open(..))) {
+            for pending in look.waiting.into_iter().chain(look.later) {
+                self.look(pending);
             }
             self.drive(out, now);
             return;
         }
-        match &fate {
-            Some(Fate::Open(stamp, spec)) => {
+        match &state {
+            Some(KeyState::Open(stamp, spec)) => {
                 self.open.insert(id.to_owned(), (*stamp, spec.clone()));
             }
-            Some(Fate::Over(record)) => self.note_over(id, *record),
-            Some(Fate::Never) => {
+            Some(KeyState::Over(record)) => self.note_over(id, *record),
+            Some(KeyState::Never) => {
                 self.open.remove(id);
             }
             None => {}
         }
-        for ticket in look.later {
-            self.look(ticket);
+        for pending in look.later {
+            self.look(pending);
         }
-        for ticket in look.tickets {
-            self.resolve(ticket, fate.as_ref(), out, now);
+        for pending in look.waiting {
+            self.resolve(pending, state.as_ref(), out, now);
         }
         self.drive(out, now);
     }
 
-    fn resolve(&mut self, ticket: Ticket, fate: Option<&Fate>, out: &mut Outbox, now: f64) {
-        let request = ticket.request;
-        if fate.is_none() || (now >= ticket.until && !matches!(fate, Some(Fate::Over(_)))) {
+    fn resolve(
+        &mut self,
+        pending: PendingRequest,
+        state: Option<&KeyState>,
+        out: &mut Outbox,
+        now: f64,
+    ) {
+        let request = pending.request;
+        if state.is_none() || (now >= pending.until && !matches!(state, Some(KeyState::Over(_)))) {
             refuse_late(request, out);
             return;
         }
-        match (fate, &ticket.wish) {
-            (Some(Fate::Over(record)), Wish::Poll) => {
-                out.answer(request, 200, &over_view(&ticket.id, record));
+        match (state, &pending.kind) {
+            (Some(KeyState::Over(record)), RequestKind::Poll) => {
+                out.answer(request, 200, &over_view(&pending.id, record));
+            }
+            (Some(KeyState::Over(record)), _) => {
+                out.answer_state(request, 200, &pending.id, over_status(record));
             }
-            (Some(Fate::Over(record)), _) => {
-                out.answer_state(request, 200, &ticket.id, over_status(record));
+            (Some(KeyState::Open(..)), RequestKind::Poll) => {
+                out.answer(request, 200, &self.open_view(&pending.id));
             }
-            (Some(Fate::Open(..)), Wish::Poll) => {
-                out.answer(request, 200, &self.open_view(&ticket.id));
+            (Some(KeyState::Open(..)), RequestKind::Submit(_) | RequestKind::Unsatisfiable(_)) => {
+                let status = self.open_view(&pending.id).status;
+                out.answer_state(request, 200, &pending.id, status);
             }
-            (Some(Fate::Open(..)), Wish::Submit(_) | Wish::Hopeless(_)) => {
-                let status = self.open_view(&ticket.id).status;
-                out.answer_state(request, 200, &ticket.id, status);
+            (Some(KeyState::Open(..)), RequestKind::Cancel)
+            | (Some(KeyState::Never), RequestKind::Submit(_)) => {
+                self.writes.push_back(pending);
             }
-            (Some(Fate::Open(..)), Wish::Cancel) | (Some(Fate::Never), Wish::Submit(_)) => {
-                self.writes.push_back(ticket);
+            (Some(KeyState::Never), RequestKind::Unsatisfiable(why)) => {
+                out.refuse(request, 422, why, None)
             }
-            (Some(Fate::Never), Wish::Hopeless(why)) => out.refuse(request, 422, why, None),
-            (Some(Fate::Never), _) => out.refuse(request, 404, "no such job", None),
+            (Some(KeyState::Never), _) => out.refuse(request, 404, "no such job", None),
             (None, _) => {}
         }
     }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,14 +1,14 @@
 //! What the leading node does: it rebuilds its tables from the state service, takes reports, binds
 //! tasks, and reconciles workers and fleet with what is wanted.
 
+mod consolidation;
 mod direct;
 mod exits;
+mod failure_detection;
 mod fleet;
 mod load;
-mod packing;
 mod reports;
 mod scaling;
-mod silence;
 mod verdicts;
 mod writes;
 
@@ -205,7 +205,7 @@
         self.schedule_due = true;
     }
 
-    /// A job was opened, as the watch or the desk shows it.
+    /// A job was opened, as the watch or the frontend shows it.
     pub fn opened(&mut self, stamp: u64, spec: &JobSpec, now: f64, wall: f64) {
         if self.jobs.get(&spec.id).is_some() {
             return;
@@ -354,7 +354,7 @@
         self.drive_pushes(may_start, out, now);
     }
 
-    /// Ends the bindings of workers that have been silent for longer than their lease can last.
+    /// Terminations the bindings of workers that have been silent for longer than their lease can last.
     fn end_dead_sessions(&mut self, now: f64) {
         let dead: Vec<String> = self
             .hosts
@@ -377,7 +377,7 @@
         }
     }
 
-    /// Ends bindings of tasks that are certainly no longer on the host.
+    /// Terminations bindings of tasks that are certainly no longer on the host.
     fn lose_bindings(&mut self, name: &str, lost: impl Fn(&Binding) -> bool) {
         let Some(host) = self.hosts.get_mut(name) else {
             return;
--- a/src/coordination/outbox.rs
+++ b/src/coordination/outbox.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::cloud::CloudCall;
 use crate::protocol::job::Refusal;
-use crate::protocol::peer::Beat;
+use crate::protocol::peer::Heartbeat;
 use crate::protocol::state::StoreCall;
 use crate::protocol::worker::WorkerCall;
 use crate::protocol::{cbor, job};
@@ -55,7 +55,7 @@
         within_s: f64,
     },
     /// Tell all peers.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
 }
 
 /// Which part asked the state service, and for what.
@@ -73,11 +73,11 @@
     Renew,
     /// The end of a lease.
     Drop,
-    /// The desk's comparison for polls, by its number.
+    /// The frontend's comparison for polls, by its number.
     Check(u64),
-    /// The desk's submits and cancels, by their number.
+    /// The frontend's submits and cancels, by their number.
     Write(u64),
-    /// The desk's look at one job.
+    /// The frontend's look at one job.
     Look(String),
     /// The leader's reading of all its records, for this Epoch.
     Load(u64),
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -1,6 +1,6 @@
 //! Which waiting task goes where, and what must make room for it. Pure arithmetic on the tables.
 
-mod making_room;
+mod preemption;
 
 use crate::bookkeeping::failures::JobFailures;
 use crate::bookkeeping::hosts::{Host, Hosts, Room};
@@ -130,7 +130,7 @@
     plan: Plan,
     within: HashSet<String>,
     /// Needs that found no free room on ordinary machines, or on any: room only shrinks in a pass.
-    hopeless: [Option<Room>; 2],
+    unsatisfiable: [Option<Room>; 2],
     /// The lowest rank that has tasks bound.
     lowest: Rank,
     limits: Limits,
@@ -205,7 +205,7 @@
             zones,
             plan: Plan::default(),
             within: within_guarantee(jobs, quotas),
-            hopeless: [None, None],
+            unsatisfiable: [None, None],
             lowest: bound
                 .map(|job| job.spec.rank)
                 .max()
@@ -392,7 +392,7 @@
         let need = &placing.need;
         let kind = usize::from(spec.spot);
         let prompt_s = self.jobs.get(&spec.id).and_then(|job| job.prompt_s);
-        if self.hopeless[kind].is_some_and(|known| need.fits(&known)) {
+        if self.unsatisfiable[kind].is_some_and(|known| need.fits(&known)) {
             return Vec::new();
         }
         let mut all: Vec<usize> = (0..self.slots.len())
@@ -400,7 +400,7 @@
             .collect();
         let anywhere = spec.flavors.is_none() && spec.zone.is_none();
         if all.is_empty() && anywhere && !spec.one_zone && !spec.spread {
-            self.hopeless[kind] = Some(*need);
+            self.unsatisfiable[kind] = Some(*need);
         }
         if all.len() > SAMPLE {
             all = sample(rng, all.len(), SAMPLE)
--- a/src/coordination/ends.rs
+++ b/src/coordination/terminations.rs
@@ -1,21 +1,21 @@
-//! Ends of jobs that peers are told of, again and again until each has acknowledged them.
+//! Terminations of jobs that peers are told of, again and again until each has acknowledged them.
 //!
 //! A leader that the state service refuses learns of cancellations in this way only. Nothing relies on
 //! it: what a peer has not heard of, it bounds by time (see `Times::hold_over_s`). So the queue may
 //! drop what is older than a cancelled task can be, and the oldest when there are too many.
 
-use crate::protocol::peer::{Ack, Ended, Ends, MAX_ENDED};
+use crate::protocol::peer::{Ack, MAX_TERMINATIONS, Termination, Terminations};
 use std::collections::{BTreeMap, VecDeque};
 
 /// What this node has to tell, and what it has heard.
 #[derive(Debug)]
-pub struct EndQueue {
+pub struct TerminationQueue {
     me: String,
     /// Tells this process from earlier ones of the same node, whose numbers are others.
     life: u64,
     /// Number of the first end in the queue.
     first: u64,
-    queue: VecDeque<(f64, Ended)>,
+    queue: VecDeque<(f64, Termination)>,
     /// For so long a peer may need to hear of an end.
     keep_s: f64,
     /// Each peer's high-water mark: it has heard of all ends before this number.
@@ -24,10 +24,15 @@
     heard: BTreeMap<String, (u64, u64)>,
 }
 
-impl EndQueue {
+impl TerminationQueue {
     /// An empty queue for these peers.
-    pub fn new(me: &str, life: u64, peers: impl Iterator<Item = String>, keep_s: f64) -> EndQueue {
-        EndQueue {
+    pub fn new(
+        me: &str,
+        life: u64,
+        peers: impl Iterator<Item = String>,
+        keep_s: f64,
+    ) -> TerminationQueue {
+        TerminationQueue {
             me: me.to_owned(),
             life,
             first: 0,
@@ -39,9 +44,9 @@
     }
 
     /// Adds ends that peers are to be told of.
-    pub fn add(&mut self, ended: Vec<Ended>, now: f64) {
+    pub fn add(&mut self, ended: Vec<Termination>, now: f64) {
         self.queue.extend(ended.into_iter().map(|e| (now, e)));
-        while self.queue.len() > MAX_ENDED {
+        while self.queue.len() > MAX_TERMINATIONS {
             self.drop_first();
         }
     }
@@ -52,13 +57,13 @@
     }
 
     /// What goes into this node's next word to its peers.
-    pub fn word(&mut self, now: f64) -> Ends {
+    pub fn word(&mut self, now: f64) -> Terminations {
         while let Some((since, _)) = self.queue.front()
             && now - since > self.keep_s
         {
             self.drop_first();
         }
-        Ends {
+        Terminations {
             life: self.life,
             first: self.first,
             list: self.queue.iter().map(|(_, ended)| ended.clone()).collect(),
@@ -76,7 +81,7 @@
 
     /// Takes a peer's word: what it has acknowledged need not be told any more, and what it tells is
     /// acknowledged with this node's next word.
-    pub fn heard(&mut self, peer: &str, ends: &Ends) {
+    pub fn heard(&mut self, peer: &str, ends: &Terminations) {
         let Some(mark) = self.acked.get_mut(peer) else {
             return;
         };
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -6,7 +6,7 @@
 
 /// What a watch has learned.
 #[derive(Debug)]
-pub enum News {
+pub enum WatchUpdate {
     /// The whole content, at a revision.
     Reset(Vec<Item>, u64),
     /// A key was put.
@@ -101,7 +101,7 @@
     }
 
     /// Takes the answer to the call that was made at `sent`.
-    pub fn reply(&mut self, reply: StoreReply, sent: f64, now: f64) -> Vec<News> {
+    pub fn reply(&mut self, reply: StoreReply, sent: f64, now: f64) -> Vec<WatchUpdate> {
         self.in_flight = false;
         match reply {
             StoreReply::Page(items, more, revision) => {
@@ -114,7 +114,7 @@
                 self.listing_at = None;
                 self.revision = Some(at);
                 self.known = true;
-                vec![News::Reset(std::mem::take(&mut self.partial), at)]
+                vec![WatchUpdate::Reset(std::mem::take(&mut self.partial), at)]
             }
             StoreReply::Events(events, revision) => {
                 self.failed = false;
@@ -123,8 +123,8 @@
                 events
                     .into_iter()
                     .map(|event| match event {
-                        Event::Set { key, value, stamp } => News::Set(key, value, stamp),
-                        Event::Remove { key, .. } => News::Removed(key),
+                        Event::Set { key, value, stamp } => WatchUpdate::Set(key, value, stamp),
+                        Event::Remove { key, .. } => WatchUpdate::Removed(key),
                     })
                     .collect()
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -300,8 +300,8 @@
                 if let Some(incoming) = self.incoming.get_mut(&id) {
                     let (frames, open) = incoming.ready(peer::MAX_FRAME);
                     for frame in frames {
-                        if let Some(beat) = peer::decode(&frame) {
-                            self.controller.beat(beat, now);
+                        if let Some(heartbeat) = peer::decode(&frame) {
+                            self.controller.heartbeat(heartbeat, now);
                         }
                     }
                     if !open {
@@ -451,8 +451,8 @@
                     self.controller.worker_reply(tag, WorkerReply::NotSent, now);
                 }
             },
-            Action::Beat(beat) => {
-                let bytes = peer::encode(&beat);
+            Action::Heartbeat(heartbeat) => {
+                let bytes = peer::encode(&heartbeat);
                 for index in 0..self.peers.len() {
                     if let Some(stream) = self.peers[index].send(&bytes, now.steady) {
                         self.unregister(Source::Peer(index));
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -10,7 +10,7 @@
 /// The most suspect jobs that fit into one message; the others are found to be so once more.
 pub const MAX_SUSPECTS: usize = 500;
 /// The most ends of jobs that fit into one message; others are looked up when somebody asks.
-pub const MAX_ENDED: usize = 1000;
+pub const MAX_TERMINATIONS: usize = 1000;
 
 /// Display counts of one job.
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
@@ -25,7 +25,7 @@
 
 /// How a job has ended, for ever.
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
-pub struct Ended {
+pub struct Termination {
     /// Job id.
     pub job: String,
     /// Cancelled, rather than done.
@@ -45,22 +45,22 @@
     pub up_to: u64,
 }
 
-/// Ends of jobs that some peer has not acknowledged yet; peers need not look them up.
+/// Terminations of jobs that some peer has not acknowledged yet; peers need not look them up.
 #[derive(Debug, Clone, Default, PartialEq, Archive, Serialize, Deserialize)]
-pub struct Ends {
+pub struct Terminations {
     /// Tells this process from earlier ones of the same node.
     pub life: u64,
     /// Number of the first of the list.
     pub first: u64,
     /// The ends, numbered in order.
-    pub list: Vec<Ended>,
+    pub list: Vec<Termination>,
     /// What was heard of each peer.
     pub acks: Vec<Ack>,
 }
 
 /// A node's regular word to its peers.
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Sender.
     pub label: String,
     /// Highest Epoch the sender knows.
@@ -70,7 +70,7 @@
     /// Whether the state service answered it lately.
     pub state_ok: bool,
     /// Workers that knocked at it lately although another node leads.
-    pub knocks: u32,
+    pub redirected: u32,
     /// From the leader: display counts of the open jobs.
     pub counts: Vec<Counts>,
     /// From the leader: jobs that are suspect, since their tasks fail on several machines.
@@ -78,19 +78,19 @@
     /// Changes a second that this node has lately made in the state service for its users.
     pub changes_per_s: f64,
     /// Jobs that have ended by this node's doing.
-    pub ends: Ends,
+    pub ends: Terminations,
 }
 
 /// Encodes a message, without its frame.
-pub fn encode(beat: &Beat) -> Vec<u8> {
-    rkyv::to_bytes::<rkyv::rancor::Error>(beat)
+pub fn encode(heartbeat: &Heartbeat) -> Vec<u8> {
+    rkyv::to_bytes::<rkyv::rancor::Error>(heartbeat)
         .map(|bytes| bytes.to_vec())
         .unwrap_or_default()
 }
 
 /// Decodes and validates a message.
-pub fn decode(bytes: &[u8]) -> Option<Beat> {
+pub fn decode(bytes: &[u8]) -> Option<Heartbeat> {
     let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
     aligned.extend_from_slice(bytes);
-    rkyv::from_bytes::<Beat, rkyv::rancor::Error>(&aligned).ok()
+    rkyv::from_bytes::<Heartbeat, rkyv::rancor::Error>(&aligned).ok()
 }
--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -6,7 +6,7 @@
      Running unittests src/lib.rs (target/debug/deps/cedarladder-1)
 running 0 tests
 test result: ok. 0 passed; 0 failed; 0 ignored
-     Running tests/desk.rs (target/debug/deps/desk-2)
+     Running tests/frontend.rs (target/debug/deps/frontend-2)
 test answers ... ok
 test refusals ... FAILED
 test result: FAILED. 1 passed; 1 failed; 0 ignored
@@ -19,7 +19,7 @@
 #[test]
 fn judged() {
     let green = RUN.replace("FAILED", "ok");
-    let one = "desk::refusals | the desk refuses | issue 7\n";
+    let one = "frontend::refusals | the frontend refuses | issue 7\n";
     let both = format!("{one}\nledger::the_log | a log | issue 8\n");
     let four = format!("{both}{both}");
     let broken_off = format!("{RUN}     Running tests/world.rs (target/debug/deps/world-4)\n");
@@ -42,7 +42,7 @@
             101,
             None,
             false,
-            "desk::refusals",
+            "frontend::refusals",
         ),
         (
             "a failure that isn't listed",
@@ -58,14 +58,14 @@
             101,
             Some(&both),
             true,
-            "known red, passed over: desk::refusals",
+            "known red, passed over: frontend::refusals",
         ),
         ("a listed test that passes", &green, 0, Some(one), true, ""),
         (
             "a line that names no test",
             &green,
             0,
-            Some("desk::refusal | why | issue 7"),
+            Some("frontend::refusal | why | issue 7"),
             false,
             "names no test",
         ),
@@ -81,7 +81,7 @@
             "a line without an issue",
             RUN,
             101,
-            Some("desk::refusals | why"),
+            Some("frontend::refusals | why"),
             false,
             "lacks",
         ),
--- a/tests/desk.rs
+++ b/tests/frontend.rs
@@ -1,9 +1,9 @@
-//! The users' desk: every wish against every state of the job's keys.
+//! The users' frontend: every wish against every state of the job's keys.
 
 mod common;
 
 use cedarladder::bookkeeping::records::{self, Ending, OverRecord};
-use cedarladder::coordination::desk::Desk;
+use cedarladder::coordination::frontend::Frontend;
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
 use cedarladder::protocol::cbor;
 use cedarladder::protocol::state::{Item, StoreCall, StoreReply, Txn};
@@ -37,8 +37,8 @@
     OverRecord { ending, done: 1 }
 }
 
-/// Answers the desk's calls as a state service in this state would, until the user is answered.
-fn serve(desk: &mut Desk, out: &mut Outbox, truth: Truth) -> (u16, String) {
+/// Answers the frontend's calls as a state service in this state would, until the user is answered.
+fn serve(frontend: &mut Frontend, out: &mut Outbox, truth: Truth) -> (u16, String) {
     for _ in 0..10 {
         for action in std::mem::take(&mut out.actions) {
             match action {
@@ -50,11 +50,11 @@
                     let (ask, _) = out.store_ask(tag).unwrap();
                     let reply = state_service(&call, truth);
                     match ask {
-                        StoreAsk::Check(call) => desk.checked(call, reply, out, 0.1),
+                        StoreAsk::Check(call) => frontend.checked(call, reply, out, 0.1),
                         StoreAsk::Write(call) => {
-                            desk.written(call, reply, out, 0.1);
+                            frontend.written(call, reply, out, 0.1);
                         }
-                        StoreAsk::Look(id) => desk.looked(&id, reply, out, 0.1),
+                        StoreAsk::Look(id) => frontend.looked(&id, reply, out, 0.1),
                         _ => unreachable!(),
                     }
                 }
@@ -110,9 +110,9 @@
         ("submit", Open, 200, "queued"),
         ("submit", Done, 200, "done"),
         ("submit", Aborted, 200, "aborted"),
-        ("hopeless", Never, 422, "why"),
-        ("hopeless", Open, 200, "queued"),
-        ("hopeless", Done, 200, "done"),
+        ("unsatisfiable", Never, 422, "why"),
+        ("unsatisfiable", Open, 200, "queued"),
+        ("unsatisfiable", Done, 200, "done"),
         ("poll", Never, 404, "no such job"),
         ("poll", Open, 200, "queued"),
         ("poll", Done, 200, "done"),
@@ -125,18 +125,18 @@
     for (wish, truth, status, word) in cases {
         // What the node believes may be late in either way.
         for belief in [Never, Open] {
-            let mut desk = Desk::new(&limits(), 1.0, 1.0);
+            let mut frontend = Frontend::new(&limits(), 1.0, 1.0);
             let mut out = Outbox::default();
             if belief == Open {
-                desk.note_open(5, spec(ID, 1));
+                frontend.note_open(5, spec(ID, 1));
             }
             match wish {
-                "submit" => desk.submit(1, spec(ID, 1), None, &mut out, 0.0),
-                "hopeless" => desk.submit(1, spec(ID, 1), Some("why"), &mut out, 0.0),
-                "poll" => desk.poll(1, ID, &mut out, 0.0),
-                _ => desk.cancel(1, ID, &mut out, 0.0),
+                "submit" => frontend.submit(1, spec(ID, 1), None, &mut out, 0.0),
+                "unsatisfiable" => frontend.submit(1, spec(ID, 1), Some("why"), &mut out, 0.0),
+                "poll" => frontend.poll(1, ID, &mut out, 0.0),
+                _ => frontend.cancel(1, ID, &mut out, 0.0),
             }
-            let (got, body) = serve(&mut desk, &mut out, truth);
+            let (got, body) = serve(&mut frontend, &mut out, truth);
             let name = format!("{wish}, job {truth:?}, believed {belief:?}");
             assert_eq!(got, status, "{name}: {body}");
             assert!(body.contains(word), "{name}: {body}");
@@ -147,28 +147,28 @@
 /// A job that was compared as open and has been closed before the answer came is not denied.
 #[test]
 fn closed_while_compared() {
-    let mut desk = Desk::new(&limits(), 1.0, 1.0);
+    let mut frontend = Frontend::new(&limits(), 1.0, 1.0);
     let mut out = Outbox::default();
-    desk.note_open(5, spec(ID, 1));
-    desk.poll(1, ID, &mut out, 0.0);
+    frontend.note_open(5, spec(ID, 1));
+    frontend.poll(1, ID, &mut out, 0.0);
     out.actions.clear();
-    desk.note_closed(ID);
-    desk.checked(1, StoreReply::Committed(9), &mut out, 0.1);
-    assert_eq!(serve(&mut desk, &mut out, Truth::Done).0, 200);
+    frontend.note_closed(ID);
+    frontend.checked(1, StoreReply::Committed(9), &mut out, 0.1);
+    assert_eq!(serve(&mut frontend, &mut out, Truth::Done).0, 200);
 }
 
 /// Who asks while a look is on its way gets a look of its own: what the first one found may be
 /// older than the question.
 #[test]
 fn asked_while_looking() {
-    let mut desk = Desk::new(&limits(), 1.0, 1.0);
+    let mut frontend = Frontend::new(&limits(), 1.0, 1.0);
     let mut out = Outbox::default();
-    desk.cancel(1, ID, &mut out, 0.0);
+    frontend.cancel(1, ID, &mut out, 0.0);
     out.actions.clear();
-    desk.cancel(2, ID, &mut out, 0.0);
-    desk.looked(ID, StoreReply::Missing, &mut out, 0.1);
+    frontend.cancel(2, ID, &mut out, 0.0);
+    frontend.looked(ID, StoreReply::Missing, &mut out, 0.1);
     out.actions.clear();
-    desk.looked(ID, StoreReply::Missing, &mut out, 0.1);
+    frontend.looked(ID, StoreReply::Missing, &mut out, 0.1);
     let first: Vec<u64> = out
         .actions
         .iter()
@@ -181,13 +181,13 @@
         .collect();
     assert_eq!(first, vec![1]);
     out.actions.retain(|a| !matches!(a, Action::Answer { .. }));
-    assert_eq!(serve(&mut desk, &mut out, Truth::Open).0, 200);
+    assert_eq!(serve(&mut frontend, &mut out, Truth::Open).0, 200);
 }
 
 /// What can't be taken is answered at once.
 #[test]
 fn refusals() {
-    type Steps = fn(&mut Desk, &mut Outbox);
+    type Steps = fn(&mut Frontend, &mut Outbox);
     let cases: [(&str, Steps, u16); 3] = [
         (
             "the state service refuses",
@@ -221,9 +221,9 @@
         ),
     ];
     for (name, steps, expected) in cases {
-        let mut desk = Desk::new(&limits(), 1.0, 1.0);
+        let mut frontend = Frontend::new(&limits(), 1.0, 1.0);
         let mut out = Outbox::default();
-        steps(&mut desk, &mut out);
+        steps(&mut frontend, &mut out);
         let [
             Action::Answer {
                 status,
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -1,7 +1,7 @@
 //! What comes in from outside: submissions, HTTP, frames, settings.
 
 use cedarladder::protocol::job::{BadJob, parse};
-use cedarladder::protocol::peer::{self, Ack, Beat, Counts, Ended, Ends};
+use cedarladder::protocol::peer::{self, Ack, Counts, Heartbeat, Termination, Terminations};
 use cedarladder::protocol::{cbor, worker};
 use cedarladder::settings::Settings;
 use cedarladder::transport::frames::split;
@@ -183,12 +183,12 @@
 #[test]
 fn mangled() {
     let mut rng = SmallRng::seed_from_u64(3);
-    let beat = Beat {
+    let heartbeat = Heartbeat {
         label: "n1".into(),
         epoch: 7,
         leader: Some("n0".into()),
         state_ok: true,
-        knocks: 2,
+        redirected: 2,
         counts: vec![Counts {
             job: "j-1".into(),
             done: 1,
@@ -196,10 +196,10 @@
         }],
         suspects: vec!["j-3".into()],
         changes_per_s: 4.5,
-        ends: Ends {
+        ends: Terminations {
             life: 5,
             first: 8,
-            list: vec![Ended {
+            list: vec![Termination {
                 job: "j-2".into(),
                 aborted: true,
                 done: 3,
@@ -211,8 +211,8 @@
             }],
         },
     };
-    let frame = peer::encode(&beat);
-    assert_eq!(peer::decode(&frame), Some(beat));
+    let frame = peer::encode(&heartbeat);
+    assert_eq!(peer::decode(&frame), Some(heartbeat));
     let commands = worker::Commands {
         epoch: 5,
         tenure: Some(1),
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -4,10 +4,10 @@
 
 use cedarladder::bookkeeping::budget::shared_rate;
 use cedarladder::bookkeeping::records::{Ending, OverRecord};
-use cedarladder::coordination::desk::Desk;
+use cedarladder::coordination::frontend::Frontend;
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
 use cedarladder::protocol::cbor;
-use cedarladder::protocol::peer::Ended;
+use cedarladder::protocol::peer::Termination;
 use cedarladder::protocol::state::{Item, StoreCall, StoreReply};
 use cedarladder::settings::StateLimits;
 use cedarladder::transport::server::{After, Server};
@@ -32,7 +32,7 @@
             value_kb: 8.0,
             txn_ops: 48,
         };
-        let mut desk = Desk::new(&limits, 1.0, PATIENCE_S);
+        let mut frontend = Frontend::new(&limits, 1.0, PATIENCE_S);
         let mut out = Outbox::default();
         let mut asked: BTreeMap<u64, f64> = BTreeMap::new();
         let (mut next, mut calls, mut changes, mut accepted) = (1, 0, 0, 0);
@@ -43,14 +43,14 @@
                     let id = format!("j-{next}");
                     asked.insert(next, now);
                     match next % 4 {
-                        0 => desk.poll(next, &id, &mut out, now),
-                        1 => desk.cancel(next, "j-2", &mut out, now),
-                        _ => desk.submit(next, spec(&id, 5), None, &mut out, now),
+                        0 => frontend.poll(next, &id, &mut out, now),
+                        1 => frontend.cancel(next, "j-2", &mut out, now),
+                        _ => frontend.submit(next, spec(&id, 5), None, &mut out, now),
                     }
                     next += 1;
                 }
             }
-            desk.drive(&mut out, now);
+            frontend.drive(&mut out, now);
             for _ in 0..10 {
                 for action in std::mem::take(&mut out.actions) {
                     match action {
@@ -75,13 +75,13 @@
                             }
                             match ask {
                                 StoreAsk::Check(call) => {
-                                    desk.checked(call, StoreReply::Committed(9), &mut out, now);
+                                    frontend.checked(call, StoreReply::Committed(9), &mut out, now);
                                 }
                                 StoreAsk::Write(call) => {
-                                    desk.written(call, StoreReply::Committed(9), &mut out, now);
+                                    frontend.written(call, StoreReply::Committed(9), &mut out, now);
                                 }
                                 StoreAsk::Look(id) => {
-                                    desk.looked(&id, StoreReply::Missing, &mut out, now);
+                                    frontend.looked(&id, StoreReply::Missing, &mut out, now);
                                 }
                                 other => panic!("{name}: {other:?}"),
                             }
@@ -116,10 +116,10 @@
         txn_ops: 40,
     };
     for told in [false, true] {
-        let mut desk = Desk::new(&limits, 0.1, 2.5);
+        let mut frontend = Frontend::new(&limits, 0.1, 2.5);
         let mut out = Outbox::default();
         for i in 0..600 {
-            desk.note_open(1, spec(&format!("j-{i}"), 5));
+            frontend.note_open(1, spec(&format!("j-{i}"), 5));
         }
         let over = |id: &str| id[2..].parse::<u32>().expect("a number") >= 600;
         let mut asked: BTreeMap<u64, (f64, bool)> = BTreeMap::new();
@@ -136,7 +136,7 @@
                 if step % 33 == 0 {
                     ids.push(format!("j-{ended}"));
                     if told {
-                        desk.note_ended(&[Ended {
+                        frontend.note_ended(&[Termination {
                             job: format!("j-{ended}"),
                             aborted: false,
                             done: 5,
@@ -147,7 +147,7 @@
                 for id in ids {
                     next += 1;
                     asked.insert(next, (now, over(&id)));
-                    desk.poll(next, &id, &mut out, now);
+                    frontend.poll(next, &id, &mut out, now);
                 }
             }
             while back.front().is_some_and(|(at, ..)| *at <= now) {
@@ -166,7 +166,7 @@
                         } else {
                             StoreReply::Conflict(failed)
                         };
-                        desk.checked(check, reply, &mut out, now);
+                        frontend.checked(check, reply, &mut out, now);
                     }
                     (StoreAsk::Look(id), StoreCall::Get(key)) => {
                         looks += 1;
@@ -184,12 +184,12 @@
                         } else {
                             StoreReply::Missing
                         };
-                        desk.looked(&id, reply, &mut out, now);
+                        frontend.looked(&id, reply, &mut out, now);
                     }
                     other => panic!("{other:?}"),
                 }
             }
-            desk.drive(&mut out, now);
+            frontend.drive(&mut out, now);
             for action in std::mem::take(&mut out.actions) {
                 match action {
                     Action::Answer { to, status, .. } => {
@@ -216,18 +216,18 @@
         value_kb: 8.0,
         txn_ops: 48,
     };
-    let mut desk = Desk::new(&limits, 1.0, 1.0);
+    let mut frontend = Frontend::new(&limits, 1.0, 1.0);
     let mut out = Outbox::default();
     let record = OverRecord {
         ending: Ending::Done,
         done: 1,
     };
     for i in 0..30_000 {
-        desk.note_over(&format!("j-{i}"), record);
+        frontend.note_over(&format!("j-{i}"), record);
     }
     for (id, from_memory) in [("j-29999", true), ("j-0", false)] {
         out.actions.clear();
-        desk.poll(1, id, &mut out, 0.0);
+        frontend.poll(1, id, &mut out, 0.0);
         let answered = matches!(&out.actions[..], [Action::Answer { status: 200, .. }]);
         assert_eq!(answered, from_memory, "{id}");
     }
@@ -324,8 +324,8 @@
         ("idle peers", [Some(0.0); 4], 130),
         ("unheard peers", [None; 4], 56),
     ] {
-        let mut desk = Desk::new(&limits, 0.1, 1.25);
-        desk.set_changes_rate(shared_rate(25.0, &others), 0.0);
+        let mut frontend = Frontend::new(&limits, 0.1, 1.25);
+        frontend.set_changes_rate(shared_rate(25.0, &others), 0.0);
         let mut out = Outbox::default();
         let mut asked: BTreeMap<u64, f64> = BTreeMap::new();
         let (mut next, mut changes, mut slowest_s) = (0u64, 0, 0.0_f64);
@@ -336,9 +336,9 @@
                 next += 1;
                 asked.insert(next, now);
                 let job = spec(&format!("j-{next}"), 1);
-                desk.submit(next, job, None, &mut out, now);
+                frontend.submit(next, job, None, &mut out, now);
             }
-            desk.drive(&mut out, now);
+            frontend.drive(&mut out, now);
             for action in std::mem::take(&mut out.actions) {
                 match action {
                     Action::Answer {
@@ -355,7 +355,7 @@
                             panic!("{call:?}");
                         };
                         changes += txn.writes.len();
-                        desk.written(number, StoreReply::Committed(9), &mut out, now);
+                        frontend.written(number, StoreReply::Committed(9), &mut out, now);
                     }
                     _ => {}
                 }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,27 +1,27 @@
 //! What peers tell one another of ended jobs, and how a watch knows that it is current.
 
-use cedarladder::coordination::ends::EndQueue;
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
+use cedarladder::coordination::terminations::TerminationQueue;
 use cedarladder::coordination::watch::Watch;
-use cedarladder::protocol::peer::{Ended, Ends, MAX_ENDED};
+use cedarladder::protocol::peer::{MAX_TERMINATIONS, Termination, Terminations};
 use cedarladder::protocol::state::{StoreCall, StoreReply};
 
 const KEEP_S: f64 = 30.0;
 
-fn queue(label: &str, life: u64) -> EndQueue {
+fn queue(label: &str, life: u64) -> TerminationQueue {
     let peers = ["a", "b", "c"].into_iter().filter(|peer| *peer != label);
-    EndQueue::new(label, life, peers.map(str::to_owned), KEEP_S)
+    TerminationQueue::new(label, life, peers.map(str::to_owned), KEEP_S)
 }
 
-fn ended(n: usize) -> Ended {
-    Ended {
+fn ended(n: usize) -> Termination {
+    Termination {
         job: format!("j-{n:06}"),
         aborted: true,
         done: 0,
     }
 }
 
-fn jobs(ends: &Ends) -> Vec<&str> {
+fn jobs(ends: &Terminations) -> Vec<&str> {
     ends.list.iter().map(|e| e.job.as_str()).collect()
 }
 
@@ -69,9 +69,9 @@
 #[test]
 fn ends_are_bounded() {
     let (mut a, mut b, mut c) = (queue("a", 1), queue("b", 2), queue("c", 3));
-    a.add((0..MAX_ENDED + 5).map(ended).collect(), 0.0);
+    a.add((0..MAX_TERMINATIONS + 5).map(ended).collect(), 0.0);
     let word = a.word(1.0);
-    assert_eq!(word.list.len(), MAX_ENDED);
+    assert_eq!(word.list.len(), MAX_TERMINATIONS);
     assert_eq!((word.first, word.list[0].clone()), (5, ended(5)));
     a.add(vec![ended(9_999)], 20.0);
     let word = a.word(KEEP_S + 1.0);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -17,7 +17,7 @@
 use cedarladder::protocol::cbor;
 use cedarladder::protocol::cloud::{CloudCall, CloudReply, Flavor, Machine, MachineStatus};
 use cedarladder::protocol::job::{JobStatus, JobView};
-use cedarladder::protocol::peer::Beat;
+use cedarladder::protocol::peer::Heartbeat;
 use cedarladder::protocol::state::{Event, Item, StoreCall, StoreReply, Txn, Write};
 use cedarladder::protocol::worker::{
     Cause, Commands, Redirect, Report, StepReport, StepStatus, Verb, WorkerCall, WorkerReply,
@@ -53,7 +53,7 @@
     CloudBack(usize, u64, u64, CloudReply),
     WorkerAt(usize, u64, u64, String, WorkerCall),
     WorkerBack(usize, u64, u64, WorkerReply),
-    BeatAt(usize, Beat),
+    HeartbeatAt(usize, Heartbeat),
     Wake(String),
     ReportAt(usize, String, Box<Report>),
     /// A late copy of a report, for whose answer nobody waits.
@@ -247,7 +247,7 @@
             | What::StoreBack(i, ..)
             | What::CloudBack(i, ..)
             | What::WorkerBack(i, ..)
-            | What::BeatAt(i, _)
+            | What::HeartbeatAt(i, _)
             | What::ReportAt(i, ..)
             | What::CopyAt(i, _)
             | What::OddAt(i, _)
@@ -327,9 +327,9 @@
             What::WorkerAt(i, ..)
             | What::ReportAt(i, ..)
             | What::CopyAt(i, _)
-            | What::BeatAt(i, _)
+            | What::HeartbeatAt(i, _)
                 if self.now < self.muted[i] => {}
-            What::BeatAt(i, _) if self.now < self.alone[i].max(self.peers_refuse) => {}
+            What::HeartbeatAt(i, _) if self.now < self.alone[i].max(self.peers_refuse) => {}
             What::ReportAt(i, ref name, _)
                 if self
                     .workers
@@ -359,7 +359,7 @@
                     self.with(i, |node| node.worker_reply(tag, reply, now));
                 }
             }
-            What::BeatAt(i, beat) => self.with(i, |node| node.beat(beat, now)),
+            What::HeartbeatAt(i, heartbeat) => self.with(i, |node| node.heartbeat(heartbeat, now)),
             What::Wake(name) => self.wake(&name),
             What::ReportAt(i, name, report) => {
                 self.counts.reports += 1;
@@ -493,13 +493,13 @@
                     self.counts.most_calls = self.counts.most_calls.max(open.len());
                     self.send(What::WorkerAt(i, life, tag, endpoint, call));
                 }
-                Action::Beat(_) if self.now < self.muted[i].max(self.alone[i]) => {}
-                Action::Beat(beat) => {
+                Action::Heartbeat(_) if self.now < self.muted[i].max(self.alone[i]) => {}
+                Action::Heartbeat(heartbeat) => {
                     for peer in (0..self.nodes.len()).filter(|peer| *peer != i) {
                         if self.is_inside(i) != self.is_inside(peer) {
                             continue;
                         }
-                        self.after(0.001, What::BeatAt(peer, beat.clone()));
+                        self.after(0.001, What::HeartbeatAt(peer, heartbeat.clone()));
                     }
                 }
             }
