Tidy: comments that a rename had mangled, and logic that stood twice

The rename of Ends and Ended had also changed the verbs in six comments. Peers heard lately were filtered in four places, what a job's failures told was withdrawn in two, a machine's failures were summed up in two; the tests of meetings and of operations had the same random durations, weather and checks. No behaviour, bound or assertion changed.

--- a/src/bookkeeping/failures.rs
+++ b/src/bookkeeping/failures.rs
@@ -135,19 +135,20 @@
     /// Whether the machine may be faulty: it gets no more work until it is known which of the jobs
     /// that failed here work elsewhere.
     pub fn is_suspect(&self) -> bool {
-        let count = |evidence: &Evidence| {
-            if evidence.proven {
-                evidence.failures
-            } else {
-                evidence.failures.min(UNPROVEN_FAILURES)
-            }
-        };
-        self.jobs.values().map(count).sum::<u32>() >= FAULTY_FAILURES
+        self.weight(UNPROVEN_FAILURES) >= FAULTY_FAILURES
     }
 
     /// Whether the machine is faulty: what failed here works elsewhere.
     pub fn is_faulty(&self) -> bool {
-        let proven = self.jobs.values().filter(|evidence| evidence.proven);
-        proven.map(|evidence| evidence.failures).sum::<u32>() >= FAULTY_FAILURES
+        self.weight(0) >= FAULTY_FAILURES
+    }
+
+    /// The failures here, of each job that has succeeded nowhere at most so many.
+    fn weight(&self, unproven_most: u32) -> u32 {
+        let count = |evidence: &Evidence| match evidence.proven {
+            true => evidence.failures,
+            false => evidence.failures.min(unproven_most),
+        };
+        self.jobs.values().map(count).sum()
     }
 }
--- a/src/bookkeeping/segment.rs
+++ b/src/bookkeeping/segment.rs
@@ -49,7 +49,7 @@
     /// Bindings.
     #[serde(rename = "B", default)]
     pub binds: Vec<BindEntry>,
-    /// Terminations of bindings.
+    /// Ends of bindings.
     #[serde(rename = "E", default)]
     pub ends: Vec<EndEntry>,
     /// Hosts that are gone, with all bindings.
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -66,7 +66,7 @@
     rng: SmallRng,
 }
 
-/// Workers whose redirected are remembered.
+/// Workers that were redirected lately and are remembered.
 const MAX_REDIRECTED: usize = 4096;
 
 /// Waits of the watch on the open jobs in a report interval: the longest time by which the view of them
@@ -138,6 +138,12 @@
         self.leader.is_some()
     }
 
+    /// The peers that were heard within so long.
+    fn heard_peers(&self, within_s: f64, now: f64) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| now - peer.at < within_s)
+    }
+
     fn report_s(&self) -> f64 {
         self.settings.deployment.workers.report_s
     }
@@ -224,9 +230,8 @@
         // A node that the state service refuses says so only while a peer is served: removals
         // back off for long, and during an outage all nodes are equally good.
         let better = self
-            .peers
-            .values()
-            .any(|peer| peer.heartbeat.state_ok && now - peer.at < window_s);
+            .heard_peers(window_s, now)
+            .any(|peer| peer.heartbeat.state_ok);
         if self.flavors.is_some() && self.jobs_watch.listed() && (own || !better) {
             self.out.answer(to, 200, &"ok");
         } else {
@@ -293,9 +298,8 @@
     /// certain that it still leads.
     fn foreman(&self, now: f64) -> Option<String> {
         let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now - peer.at < self.report_s() && peer.heartbeat.epoch > 0)
+            .heard_peers(self.report_s(), now)
+            .filter(|peer| peer.heartbeat.epoch > 0)
             .max_by_key(|peer| peer.heartbeat.epoch);
         let known = match fresh {
             Some(peer) if peer.heartbeat.epoch >= self.election.highest() => {
@@ -591,9 +595,7 @@
     /// Jobs that leaders before this one have lately told to be suspect.
     fn known_suspects(&self, now: f64) -> BTreeSet<String> {
         let window_s = self.settings.deployment.workers.cancel_s;
-        self.peers
-            .values()
-            .filter(|peer| now - peer.at < window_s)
+        self.heard_peers(window_s, now)
             .flat_map(|peer| peer.heartbeat.suspects.iter().cloned())
             .collect()
     }
@@ -732,13 +734,10 @@
             return;
         }
         let fresh = self.report_s() * 2.0;
-        let mut heard = self
-            .peers
-            .values()
-            .filter(|peer| now - peer.at < fresh)
-            .peekable();
-        let alone = heard.peek().is_none();
-        let knocked = heard.any(|peer| peer.heartbeat.redirected > 0);
+        let alone = self.heard_peers(fresh, now).next().is_none();
+        let knocked = self
+            .heard_peers(fresh, now)
+            .any(|peer| peer.heartbeat.redirected > 0);
         if knocked || (alone && silent_s > self.settings.deployment.workers.lease_s / 2.0) {
             tracing::info!("workers can't reach this node: giving up the lead");
             let outcome = self.election.give_up(&mut self.out, now);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -262,7 +262,7 @@
                 }
             }
         }
-        self.withdraw_failures(job);
+        self.forget_failures(job);
         self.schedule_due = true;
     }
 
@@ -354,7 +354,7 @@
         self.drive_pushes(may_start, out, now);
     }
 
-    /// Terminations the bindings of workers that have been silent for longer than their lease can last.
+    /// Ends the bindings of workers that have been silent for longer than their lease can last.
     fn end_dead_sessions(&mut self, now: f64) {
         let dead: Vec<String> = self
             .hosts
@@ -377,7 +377,7 @@
         }
     }
 
-    /// Terminations bindings of tasks that are certainly no longer on the host.
+    /// Ends bindings of tasks that are certainly no longer on the host.
     fn lose_bindings(&mut self, name: &str, lost: impl Fn(&Binding) -> bool) {
         let Some(host) = self.hosts.get_mut(name) else {
             return;
--- a/src/coordination/leader/verdicts.rs
+++ b/src/coordination/leader/verdicts.rs
@@ -1,6 +1,7 @@
 //! What failed and completed tasks tell about their jobs and machines.
 
 use super::{AVOID_LEASES, Leader};
+use crate::bookkeeping::hosts::Hosts;
 use crate::bookkeeping::jobs::Job;
 use crate::protocol::peer::MAX_SUSPECTS;
 use crate::protocol::worker::{Cause, TaskId};
@@ -82,11 +83,7 @@
             );
         }
         if newly_suspect {
-            for name in job.failures.hosts() {
-                if let Some(host) = self.hosts.get_mut(name) {
-                    host.failures.withdraw(&task.job);
-                }
-            }
+            withdraw_failures(job, &mut self.hosts);
         } else if cause == Cause::Error
             && !job.failures.is_suspect()
             && let Some(host) = self.hosts.get_mut(host)
@@ -120,14 +117,18 @@
 
     /// A job is over. What its failures told about machines is withdrawn, unless it has succeeded
     /// elsewhere: it may have been at fault itself.
-    pub(super) fn withdraw_failures(&mut self, job: &Job) {
-        if job.failures.has_succeeded() {
-            return;
+    pub(super) fn forget_failures(&mut self, job: &Job) {
+        if !job.failures.has_succeeded() {
+            withdraw_failures(job, &mut self.hosts);
         }
-        for name in job.failures.hosts() {
-            if let Some(host) = self.hosts.get_mut(name) {
-                host.failures.withdraw(&job.spec.id);
-            }
+    }
+}
+
+/// Withdraws what a job's failures told about machines.
+fn withdraw_failures(job: &Job, hosts: &mut Hosts) {
+    for name in job.failures.hosts() {
+        if let Some(host) = hosts.get_mut(name) {
+            host.failures.withdraw(&job.spec.id);
         }
     }
 }
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -39,7 +39,7 @@
     Running,
     /// Saving before it stops.
     Flushing,
-    /// Termination.
+    /// Ended.
     Exited,
     /// A state this version does not know; the task is taken to be on the machine.
     #[serde(other)]
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -195,7 +195,7 @@
         }
     }
 
-    /// Terminations a connection and the call on it.
+    /// Ends a connection and the call on it.
     fn fail(&mut self, id: u64) {
         self.use_again(id);
         let Some(conn) = self.conns.remove(&id) else {
@@ -267,7 +267,7 @@
         self.dispatch(to, now)
     }
 
-    /// Terminations calls whose time is over and connections unused for long. Returns connections to
+    /// Ends calls whose time is over and connections unused for long. Returns connections to
     /// register.
     pub fn expire(&mut self, now: f64) -> Vec<u64> {
         let late: Vec<u64> = self
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -6,20 +6,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
-use world::{Odd, Weather, World};
+use world::{CANCEL_S, LEASE_S, Odd, Weather, World};
 
-/// The leases' and the cancellation's time in the world's settings.
-const LEASE_S: f64 = 10.0;
-const CANCEL_S: f64 = 30.0;
 /// When the troubles begin: the machines are up and the first jobs run.
 const BEGIN: f64 = 30.0;
 
-/// All that holds on any other day, and the largest have begun in time.
-fn check(world: &World, name: &str) {
-    world.check(name);
-    assert_eq!(world.largest_late(), Vec::<&str>::new(), "{name}");
-}
-
 /// Services, long arrays and short ones, up to the team's limit of twenty tasks.
 fn crowd(world: &mut World) {
     for n in 0..4 {
@@ -61,7 +52,7 @@
             let name = format!("{name}, {nodes} controllers, seed {seed}");
             // However soon it would have been ended.
             assert_eq!(world.counts.starts_after_cancel, 0, "{name}");
-            check(&world, &name);
+            world.check_with_largest(&name);
         }
     }
 }
@@ -482,14 +473,7 @@
                 user.apart_s = chance.random::<f64>() * 9.0;
             }
         }
-        let some = |chance: &mut SmallRng, of: f64| {
-            let there = chance.random::<f64>() < 0.4;
-            if there {
-                chance.random::<f64>() * of
-            } else {
-                0.0
-            }
-        };
+        let some = |chance: &mut SmallRng, of: f64| Weather::sometimes(chance, 0.4, of);
         world.weather = Weather {
             lost: some(&mut chance, 0.04),
             late: some(&mut chance, 0.04),
@@ -507,9 +491,7 @@
             let next = world.now + chance.random::<f64>() * 9.0;
             world.run(next);
             let nth = chance.random_range(0..8);
-            // Moments, less than a lease, more than one, more than a cancellation takes.
-            let scale = [1.0, LEASE_S, 1.5 * LEASE_S, 1.4 * CANCEL_S][chance.random_range(0..4)];
-            let for_s = (0.1 + chance.random::<f64>()) * scale;
+            let for_s = Weather::duration(&mut chance);
             match chance.random_range(0..18) {
                 0 => drop(world.restart_leader(for_s.min(15.0))),
                 1 => drop(world.refuse_leader(for_s)),
@@ -550,6 +532,6 @@
         world.calm_down(calm);
         let end = world.now + 1.5 * CANCEL_S + 150.0;
         world.run(end);
-        check(&world, &format!("seed {seed}"));
+        world.check_with_largest(&format!("seed {seed}"));
     }
 }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -5,11 +5,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use world::{Weather, World};
+use world::{CANCEL_S, LEASE_S, Weather, World};
 
-/// The leases' and the cancellation's time in the world's settings.
-const LEASE_S: f64 = 10.0;
-const CANCEL_S: f64 = 30.0;
 /// When the troubles begin: the machines are up and the first jobs run.
 const BEGIN: f64 = 30.0;
 
@@ -54,8 +51,7 @@
             let calm = world.now.max(BEGIN + 70.0);
             world.calm_down(calm);
             world.run(calm + 150.0);
-            world.check(&name);
-            assert_eq!(world.largest_late(), Vec::<&str>::new(), "{name}");
+            world.check_with_largest(&name);
         }
     }
 }
@@ -252,8 +248,7 @@
         world.run(60.0);
         world.restart_leader(3.0);
         world.run(320.0);
-        world.check(&name);
-        assert_eq!(world.largest_late(), Vec::<&str>::new(), "{name}");
+        world.check_with_largest(&name);
     }
 }
 
@@ -275,14 +270,7 @@
             let tasks = chance.random_range(1..12);
             world.broken_job(100 + n, at, (tasks, n == 3), cancel_at);
         }
-        let some = |chance: &mut SmallRng, of: f64| {
-            let there = chance.random::<f64>() < 0.5;
-            if there {
-                chance.random::<f64>() * of
-            } else {
-                0.0
-            }
-        };
+        let some = |chance: &mut SmallRng, of: f64| Weather::sometimes(chance, 0.5, of);
         world.weather = Weather {
             lost: some(&mut chance, 0.04),
             copies: some(&mut chance, 0.4),
@@ -301,9 +289,7 @@
             let next = world.now + chance.random::<f64>() * 9.0;
             world.run(next);
             let nth = chance.random_range(0..8);
-            // Moments, less than a lease, more than one, more than a cancellation takes.
-            let scale = [1.0, LEASE_S, 1.5 * LEASE_S, 1.4 * CANCEL_S][chance.random_range(0..4)];
-            let for_s = (0.1 + chance.random::<f64>()) * scale;
+            let for_s = Weather::duration(&mut chance);
             match chance.random_range(0..10) {
                 0 | 1 => drop(world.pause_leader_mid_turn(for_s)),
                 2 => drop(world.silence_leader(10.0 + for_s)),
--- a/tests/world/checks.rs
+++ b/tests/world/checks.rs
@@ -57,6 +57,12 @@
         assert_eq!(self.unanswered(ANSWERED_S), Vec::<&str>::new(), "{name}");
     }
 
+    /// The same, and the largest jobs have begun in time.
+    pub fn check_with_largest(&self, name: &str) {
+        self.check(name);
+        assert_eq!(self.largest_late(), Vec::<&str>::new(), "{name}");
+    }
+
     /// Notes a report that comes late.
     pub(super) fn note_copy(&mut self, report: &Report) {
         if let Some(worker) = self.workers.get(&report.host) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -38,8 +38,9 @@
 use workers::Worker;
 
 pub const SETTINGS: &str = include_str!("settings.toml");
-const LEASE_S: f64 = 10.0;
-const CANCEL_S: f64 = 30.0;
+/// The leases' and the cancellation's time in the settings.
+pub const LEASE_S: f64 = 10.0;
+pub const CANCEL_S: f64 = 30.0;
 /// For how long a user waits for an answer.
 const USER_PATIENCE_S: f64 = 5.0;
 const WALL: f64 = 1_700_000_000.0;
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -31,6 +31,24 @@
     pub missing_boots: f64,
 }
 
+impl Weather {
+    /// With this likelihood a random part of `of`, else nothing.
+    pub fn sometimes(chance: &mut SmallRng, likelihood: f64, of: f64) -> f64 {
+        let there = chance.random::<f64>() < likelihood;
+        if there {
+            chance.random::<f64>() * of
+        } else {
+            0.0
+        }
+    }
+
+    /// How long a trouble lasts: moments, less than a lease, more than one, or more than a cancellation takes.
+    pub fn duration(chance: &mut SmallRng) -> f64 {
+        let scale = [1.0, LEASE_S, 1.5 * LEASE_S, 1.4 * CANCEL_S][chance.random_range(0..4)];
+        (0.1 + chance.random::<f64>()) * scale
+    }
+}
+
 /// A zone that is cut off from everything, with the controllers in it.
 pub(super) struct Cut {
     pub(super) zone: &'static str,
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -424,7 +424,7 @@
         });
     }
 
-    /// Terminations the sessions whose lease is over, and watches the cancelled.
+    /// Ends the sessions whose lease is over, and watches the cancelled.
     pub(super) fn kill_expired(&mut self) {
         let now = self.now;
         // Of thousands of machines, not at every event.
