--- a/tests/world/checks.rs
+++ b/tests/world/checks.rs
@@ -27,6 +27,14 @@
     /// Starts after their user was told that the job is cancelled, and the latest of them.
     pub starts_after_cancel: u32,
     pub latest_after_cancel: f64,
+    /// Direct commands with starts that were held on their way.
+    pub held_commands: u32,
+    /// Starts that arrived with them when their job's tasks had to be gone already, and those of them for
+    /// a session that still went on.
+    pub starts_past_cancellation: u32,
+    pub starts_past_in_session: u32,
+    /// Tasks that began to run when all tasks of their cancelled job had to be gone.
+    pub begun_past_cancellation: u32,
     /// Tasks of each job that failed, and on each machine.
     pub failures: BTreeMap<String, u32>,
     pub failures_on: BTreeMap<String, u32>,
@@ -115,6 +123,14 @@
         self.running().filter(|(step, _)| of(step)).count()
     }
 
+    /// The attempts of a job that run.
+    pub fn attempts_of(&self, job: u32) -> BTreeMap<String, u64> {
+        let id = format!("j-{job:06}");
+        let of = self.running().filter(|(step, _)| job_of(step) == id);
+        of.map(|(step, task)| (step.to_owned(), task.attempt))
+            .collect()
+    }
+
     /// All troubles end: from here on no job may wait for long beside room.
     pub fn calm_down(&mut self, at: f64) {
         self.weather = Weather::default();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -32,7 +32,7 @@
 pub use checks::Counts;
 use store::Store;
 use troubles::Cut;
-pub use troubles::Weather;
+pub use troubles::{HeldCommands, Weather};
 use users::{Ask, Asked};
 pub use users::{Odd, User};
 use workers::Worker;
@@ -53,6 +53,8 @@
     CloudAt(usize, u64, u64, CloudCall),
     CloudBack(usize, u64, u64, CloudReply),
     WorkerAt(usize, u64, u64, String, WorkerCall),
+    /// A direct command that was held on its way, and whose sender has given up.
+    HeldCommandAt(usize, u64, u64, String, WorkerCall),
     WorkerBack(usize, u64, u64, WorkerReply),
     HeartbeatAt(usize, Heartbeat),
     Wake(String),
@@ -123,6 +125,8 @@
     /// Machines that each pool of the cloud has.
     pool: u32,
     pub counts: Counts,
+    /// Direct commands with starts that are held on their way.
+    pub held_commands: HeldCommands,
     kill_at: f64,
     /// When all troubles are over, and when waiting jobs are looked at next.
     quiet_at: f64,
@@ -194,6 +198,7 @@
             peers_refuse: 0.0,
             pool,
             counts: Counts::default(),
+            held_commands: HeldCommands::default(),
             kill_at: 0.0,
             quiet_at: f64::INFINITY,
             look_at: 0.0,
@@ -326,6 +331,7 @@
                 }
             }
             What::WorkerAt(i, ..)
+            | What::HeldCommandAt(i, ..)
             | What::ReportAt(i, ..)
             | What::CopyAt(i, _)
             | What::HeartbeatAt(i, _)
@@ -354,6 +360,10 @@
             What::WorkerAt(i, life, tag, host, call) => {
                 self.worker_call(i, life, tag, &host, &call)
             }
+            What::HeldCommandAt(i, life, tag, host, call) => {
+                self.note_held_command(&host, &call);
+                self.worker_call(i, life, tag, &host, &call);
+            }
             What::WorkerBack(i, life, tag, reply) => {
                 if self.lives[i] == life {
                     self.calls.entry((i, life)).or_default().remove(&tag);
@@ -492,6 +502,14 @@
                     let open = self.calls.entry((i, life)).or_default();
                     open.insert(tag);
                     self.counts.most_calls = self.counts.most_calls.max(open.len());
+                    if let Some(held_s) = self.holds_command(&call) {
+                        let held =
+                            What::HeldCommandAt(i, life, tag, endpoint.clone(), call.clone());
+                        self.after(held_s, held);
+                        if !self.held_commands.copies_only {
+                            continue;
+                        }
+                    }
                     self.send(What::WorkerAt(i, life, tag, endpoint, call));
                 }
                 Action::Heartbeat(_) if self.now < self.muted[i].max(self.alone[i]) => {}
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -1,5 +1,6 @@
 //! The network and the troubles.
 
+use super::workers::job_of;
 use super::*;
 
 /// What may go wrong, as chances for each message.
@@ -49,6 +50,18 @@
     }
 }
 
+/// Direct commands with starts that arrive long after their sender gave up, if token and session still
+/// match then. Reports, their answers and all other direct commands go through meanwhile.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HeldCommands {
+    /// Commands sent before this time are held.
+    pub until: f64,
+    /// For how long each is held.
+    pub held_s: f64,
+    /// Each is carried out at once as well; what is held is a copy.
+    pub copies_only: bool,
+}
+
 /// A zone that is cut off from everything, with the controllers in it.
 pub(super) struct Cut {
     pub(super) zone: &'static str,
@@ -111,6 +124,38 @@
         self.after(delay, what);
     }
 
+    /// For how long a direct command is held, if it is.
+    pub(super) fn holds_command(&mut self, call: &WorkerCall) -> Option<f64> {
+        let WorkerCall::Commands(commands) = call;
+        let starts = commands
+            .orders
+            .iter()
+            .any(|order| order.verb == Verb::Start);
+        if !starts || self.now >= self.held_commands.until {
+            return None;
+        }
+        self.counts.held_commands += 1;
+        Some(self.held_commands.held_s)
+    }
+
+    /// Notes a held command that arrives, whether or not it is carried out.
+    pub(super) fn note_held_command(&mut self, host: &str, call: &WorkerCall) {
+        let WorkerCall::Commands(commands) = call;
+        let Some(worker) = self.workers.get(host) else {
+            return;
+        };
+        let same_session = commands.tenure == Some(worker.tenure);
+        let too_late = |step: &str| {
+            let user = self.users.iter().find(|u| u.id == job_of(step));
+            let told = user.and_then(|u| u.told_cancelled);
+            told.is_some_and(|at| self.now > at + CANCEL_S)
+        };
+        let starts = commands.orders.iter().filter(|o| o.verb == Verb::Start);
+        let late = starts.filter(|order| too_late(&order.step)).count() as u32;
+        self.counts.starts_past_cancellation += late;
+        self.counts.starts_past_in_session += if same_session { late } else { 0 };
+    }
+
     /// An answer on its way, which may get lost.
     pub(super) fn deliver(&mut self, delay: f64, what: What) {
         if self.rng.random::<f64>() >= self.weather.lost {
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -207,6 +207,15 @@
         self.at(at, What::User(index));
     }
 
+    /// A user cancels at just this time, rather than with the next question.
+    pub fn cancel_promptly(&mut self, n: u32, at: f64) {
+        let id = format!("j-{n:06}");
+        if let Some(index) = self.users.iter().position(|u| u.id == id) {
+            self.users[index].cancel_at = Some(at);
+            self.at(at, What::User(index));
+        }
+    }
+
     /// Adds a job that was submitted with a mistake, until its user cancels it.
     pub fn broken_job(&mut self, n: u32, at: f64, (tasks, standing): (u32, bool), cancel_at: f64) {
         self.user(n, at, (tasks, 5.0, standing, false), Some(cancel_at));
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -342,7 +342,8 @@
         let index = step.rsplit('/').next().and_then(|n| n.parse().ok());
         let run_s = user.run_s + user.apart_s * f64::from(index.unwrap_or(0u32));
         let (standing, broken, guest) = (user.standing, user.broken, user.guest);
-        if user.told_cancelled.is_some_and(|at| now > at + CANCEL_S) {
+        let past_cancellation = user.told_cancelled.is_some_and(|at| now > at + CANCEL_S);
+        if past_cancellation {
             self.broken
                 .push(format!("{now}: {step} starts after its cancellation"));
         }
@@ -380,6 +381,7 @@
         }
         if refused.is_none() {
             self.starts += 1;
+            self.counts.begun_past_cancellation += u32::from(past_cancellation);
             if grove.is_some_and(|grove| grove != zone) {
                 self.broken.push(format!(
                     "{now}: {step} starts in {zone}, which its job doesn't allow"
