Permits: the age of what a decision rests on, and the reason for a denial, in one module and in the log

Need: between the cancellation and the late start no line of the log named the task. The log could not tell how old the view was at a decision, nor which starts might still arrive.

Change: bookkeeping/permits.rs is asked whether starts may go out and leases be renewed; it answers with a reason of a type. Log: age of the view with each start, stops and clears one line each, starts without an answer, denied renewals, totals of what was allowed and denied every 24 report intervals. No decision changes.

--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -1,6 +1,7 @@
 //! Hosts, the tasks bound to them and what their workers say.
 
 use crate::bookkeeping::failures::HostFailures;
+use crate::bookkeeping::permits::Knowledge;
 use crate::protocol::cloud::Flavor;
 use crate::protocol::worker::{Cause, Order, Report, StepReport, StepStatus, TaskId, Verb};
 use std::collections::BTreeMap;
@@ -322,11 +323,31 @@
     }
 
     /// Notes that the starts among these orders went out, directly or in the answer to a report.
-    pub fn note_sent(&mut self, orders: &[Order], answered: Option<u64>) {
+    pub fn note_sent(&mut self, orders: &[Order], answered: Option<u64>, knowledge: &Knowledge) {
+        let direct = answered.is_none();
+        for order in orders.iter().filter(|order| order.verb != Verb::Start) {
+            let verb = order.verb;
+            let attempt = order.attempt;
+            tracing::debug!(
+                host = self.name,
+                task = order.step,
+                attempt,
+                ?verb,
+                direct,
+                "order sent"
+            );
+        }
         for order in orders.iter().filter(|order| order.verb == Verb::Start) {
             if let Some(task) = TaskId::parse(&order.step) {
-                let direct = answered.is_none();
-                tracing::debug!(host = self.name, %task, attempt = order.attempt, direct, "start sent");
+                tracing::debug!(
+                    host = self.name,
+                    %task,
+                    attempt = order.attempt,
+                    direct,
+                    tenure = self.tenure,
+                    view_age_s = knowledge.view_age_s,
+                    "start sent"
+                );
                 let way = self.in_flight.entry((task, order.attempt)).or_default();
                 match answered {
                     Some(tick) => way.answered = Some(tick),
@@ -340,6 +361,14 @@
     /// answer to a repetition settles nothing about the first.
     pub fn settle_direct(&mut self, orders: &[Order], lost: bool) {
         for order in orders.iter().filter(|order| order.verb == Verb::Start) {
+            if lost {
+                tracing::debug!(
+                    host = self.name,
+                    task = order.step,
+                    attempt = order.attempt,
+                    "start without answer: it may still arrive"
+                );
+            }
             if let Some(task) = TaskId::parse(&order.step)
                 && let Some(way) = self.in_flight.get_mut(&(task, order.attempt))
             {
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -6,6 +6,7 @@
 pub mod hosts;
 pub mod jobs;
 pub mod ledger;
+pub mod permits;
 pub mod quotas;
 pub mod records;
 pub mod ring;
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -8,6 +8,7 @@
 use super::watch::{Watch, WatchUpdate};
 use crate::bookkeeping::budget;
 use crate::bookkeeping::hosts::Room;
+use crate::bookkeeping::permits::Knowledge;
 use crate::bookkeeping::quotas::Quotas;
 use crate::bookkeeping::records::{self, LeaderRecord};
 use crate::policy::Policy;
@@ -73,9 +74,6 @@
 /// is less current than it could be.
 const WATCHES_PER_REPORT: f64 = 4.0;
 
-/// Report intervals for which a view of the open jobs is new enough for starts.
-const START_VIEW: f64 = 2.0;
-
 /// Report intervals of silence from all workers that are more than chance.
 const SILENT_REPORTS: f64 = 1.6;
 
@@ -246,12 +244,11 @@
         };
         let outcome = self.election.notice(report.epoch);
         self.follow_outcome(outcome, now);
-        let may_renew = self.may_renew(now);
-        let may_start = self.may_start(now);
+        let knowledge = self.knowledge(now);
         if let Some(leader) = &mut self.leader {
             let open = &self.frontend.open;
             let is_open = |id: &str| open.contains_key(id);
-            match leader.report(&report, may_renew, may_start, is_open, now) {
+            match leader.report(&report, &knowledge, is_open, now) {
                 ReportAnswer::Orders(orders) => {
                     let epoch = leader.epoch();
                     let answer = Commands {
@@ -278,20 +275,10 @@
         self.out.answer(to, 421, &Redirect { foreman });
     }
 
-    /// Whether this node leads and knows of every cancellation that could be due, so that it may renew
-    /// workers' leases.
-    fn may_renew(&self, now: f64) -> bool {
-        self.election.may_renew(self.jobs_watch.current_at(), now)
-    }
-
-    /// Whether starts may go out: this node certainly holds the lease, and has seen the open jobs since
-    /// the state service last refused it. After an outage a lease has its full time again, while jobs
-    /// may have been cancelled before of which this node hasn't heard yet.
-    fn may_start(&self, now: f64) -> bool {
-        let current_at = self.jobs_watch.current_at();
-        self.election.confirmed(now)
-            && current_at > self.doubt_at
-            && now - current_at < START_VIEW * self.report_s()
+    /// What this node knows, and how old that is.
+    fn knowledge(&self, now: f64) -> Knowledge {
+        let view_at = self.jobs_watch.current_at();
+        self.election.knowledge(view_at, self.doubt_at, now)
     }
 
     /// The node to which workers are sent: the leader, unless that is this node or it is not
@@ -621,12 +608,11 @@
     fn drive(&mut self, now: f64) {
         self.jobs_watch.drive(&mut self.out, now);
         self.leader_watch.drive(&mut self.out, now);
-        let confirmed = self.election.confirmed(now);
-        let may_start = self.may_start(now);
+        let knowledge = self.knowledge(now);
         let Some(leader) = &mut self.leader else {
             return;
         };
-        leader.drive(confirmed, may_start, &mut self.out, now);
+        leader.drive(&knowledge, &mut self.out, now);
         for notice in leader.take_notices() {
             let outcome = match notice {
                 Notice::Over(id, record) => {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -1,6 +1,7 @@
 //! Who leads: `leader` in the state service, attached to a lease.
 
 use super::outbox::{Outbox, StoreAsk};
+use crate::bookkeeping::permits::{Knowledge, Limits};
 use crate::bookkeeping::records::{self, LeaderRecord};
 use crate::protocol::cbor;
 use crate::protocol::state::{Condition, StoreCall, StoreReply, Txn, Write};
@@ -14,6 +15,8 @@
     /// For how long a leader answers reports after the last renewal of its lease, and after its view of
     /// the open jobs was last known to be current.
     pub hold_over_s: f64,
+    /// The oldest view of the open jobs that allows starts.
+    pub start_view_s: f64,
     /// For how long a leader that gave up stays out of elections.
     pub quiet_s: f64,
 }
@@ -33,11 +36,14 @@
         Times {
             life_s,
             hold_over_s: hold_over_s.max(life_s),
+            start_view_s: START_VIEW * workers.report_s,
             quiet_s: lease_s,
         }
     }
 }
 
+/// Report intervals for which a view of the open jobs is new enough for starts.
+const START_VIEW: f64 = 2.0;
 /// Share of the lease's life after which it is renewed.
 const RENEW: f64 = 1.0 / 4.0;
 /// Share of the lease's life after which an unanswered election call is given up.
@@ -112,10 +118,20 @@
         self.epoch().is_some() && now < self.renewed_at + self.times.life_s * (1.0 - 2.0 * DRIFT)
     }
 
-    /// Whether this node leads and may renew workers' leases, with a view of the open jobs that was
-    /// current at `current_at`.
-    pub fn may_renew(&self, current_at: f64, now: f64) -> bool {
-        self.epoch().is_some() && now <= self.renewed_at.min(current_at) + self.times.hold_over_s
+    /// What this node knows, with a view of the open jobs that was current at `view_at` and a state
+    /// service that last refused a call, or left one unanswered, at `doubt_at`.
+    pub fn knowledge(&self, view_at: f64, doubt_at: f64, now: f64) -> Knowledge {
+        Knowledge {
+            leads: self.epoch().is_some(),
+            lease_held: self.confirmed(now),
+            lease_age_s: now - self.renewed_at,
+            view_age_s: now - view_at,
+            doubt_age_s: now - doubt_at,
+            limits: Limits {
+                hold_over_s: self.times.hold_over_s,
+                start_view_s: self.times.start_view_s,
+            },
+        }
     }
 
     /// Highest Epoch known from anywhere.
--- a/src/coordination/leader/direct.rs
+++ b/src/coordination/leader/direct.rs
@@ -3,6 +3,7 @@
 use super::reports::MAX_ORDERS;
 use super::{Leader, Notice};
 use crate::bookkeeping::hosts::Host;
+use crate::bookkeeping::permits::Knowledge;
 use crate::coordination::outbox::{Outbox, WorkerAsk};
 use crate::protocol::worker::{Commands, Order, Verb, WorkerCall, WorkerReply};
 
@@ -14,7 +15,8 @@
     /// Sends direct commands where the workers don't yet do what is wanted, and this leader's Epoch
     /// where it is not known yet. Calls at a time are bounded, and workers that may not answer get a
     /// part of them only: a zone that is cut off must not keep commands from the others.
-    pub(super) fn drive_pushes(&mut self, may_start: bool, out: &mut Outbox, now: f64) {
+    pub(super) fn drive_pushes(&mut self, knowledge: &Knowledge, out: &mut Outbox, now: f64) {
+        let may_start = knowledge.may_start().is_ok();
         let report_s = self.settings.deployment.workers.report_s;
         let limit = self.settings.deployment.quota.direct_sockets();
         let missed = |host: &Host| {
@@ -64,7 +66,7 @@
                 let at = last.map_or(f64::NEG_INFINITY, |(_, at)| *at);
                 doubtful.push((at, name, orders));
             } else if self.pushing.len() < limit {
-                self.push(&name, orders, false, out, now);
+                self.push(&name, orders, false, knowledge, out, now);
             }
         }
         let probing = self.pushing.values().filter(|doubtful| **doubtful).count();
@@ -72,17 +74,25 @@
         // Those not asked for longest go first.
         doubtful.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, name, orders) in doubtful.into_iter().take(free) {
-            self.push(&name, orders, true, out, now);
+            self.push(&name, orders, true, knowledge, out, now);
         }
     }
 
-    fn push(&mut self, name: &str, orders: Vec<Order>, doubtful: bool, out: &mut Outbox, now: f64) {
+    fn push(
+        &mut self,
+        name: &str,
+        orders: Vec<Order>,
+        doubtful: bool,
+        knowledge: &Knowledge,
+        out: &mut Outbox,
+        now: f64,
+    ) {
         let Some(host) = self.hosts.get_mut(name) else {
             return;
         };
         self.push_due.remove(name);
         self.pushing.insert(name.to_owned(), doubtful);
-        host.note_sent(&orders, None);
+        host.note_sent(&orders, None, knowledge);
         let tenure = host
             .tenure
             .max(host.bindings.values().map(|b| b.tenure).max().unwrap_or(1));
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -18,6 +18,7 @@
 use crate::bookkeeping::hosts::{Binding, HaltReason, Host, Hosts, Room};
 use crate::bookkeeping::jobs::{Job, Jobs};
 use crate::bookkeeping::ledger::{Change, Ledger, TxnLimits};
+use crate::bookkeeping::permits::{Action, Knowledge, Tally};
 use crate::bookkeeping::quotas::Quotas;
 use crate::bookkeeping::records::OverRecord;
 use crate::policy::Policy;
@@ -48,6 +49,8 @@
 const AGEING_LEASES: f64 = 6.0;
 /// Leases for which a job's tasks avoid a host on which one of them has failed.
 const AVOID_LEASES: f64 = 1.0;
+/// Report intervals between two logs of what was allowed and denied.
+const REPORTS_PER_TALLY: f64 = 24.0;
 /// Passes of the scheduler in a report interval, at most.
 const PASSES_PER_REPORT: f64 = 25.0;
 
@@ -110,6 +113,8 @@
     /// as silent for the time in which it did not listen.
     drove_at: f64,
     awake_since: f64,
+    tally: Tally,
+    tally_at: f64,
     rng: SmallRng,
 }
 
@@ -167,6 +172,8 @@
             last_report: None,
             drove_at: now,
             awake_since: now,
+            tally: Tally::default(),
+            tally_at: now,
             rng,
             settings,
             policy,
@@ -327,9 +334,8 @@
         host.lease_from + workers.lease_s * (1.0 + 4.0 * DRIFT) + workers.report_s / 5.0
     }
 
-    /// Does all that is due. `confirmed`: this node certainly holds the lease; `may_start`: and knows
-    /// which jobs are open now.
-    pub fn drive(&mut self, confirmed: bool, may_start: bool, out: &mut Outbox, now: f64) {
+    /// Does all that is due and that `knowledge` allows.
+    pub fn drive(&mut self, knowledge: &Knowledge, out: &mut Outbox, now: f64) {
         if now - self.drove_at > self.settings.deployment.workers.report_s / 4.0 {
             tracing::info!(gap_s = now - self.drove_at, "this node stood still");
             self.awake_since = now;
@@ -340,18 +346,39 @@
             return;
         }
         self.end_dead_sessions(now);
-        if confirmed {
+        if knowledge.lease_held {
             self.schedule(now);
         }
         self.drive_writes(out, now);
-        self.drive_fleet(confirmed, out, now);
+        self.drive_fleet(knowledge.lease_held, out, now);
+        let starts = knowledge.may_start();
+        self.tally.count(Action::Start, starts);
+        let may_start = starts.is_ok();
         if may_start && !self.may_start {
             // Starts that had to wait.
             let names = self.hosts.iter().map(|host| host.name.clone());
             self.push_due.extend(names);
         }
+        if self.may_start != may_start {
+            tracing::debug!(
+                ?starts,
+                view_age_s = knowledge.view_age_s,
+                lease_age_s = knowledge.lease_age_s,
+                "starts allowed or denied"
+            );
+        }
         self.may_start = may_start;
-        self.drive_pushes(may_start, out, now);
+        self.drive_pushes(knowledge, out, now);
+        self.log_decisions(now);
+    }
+
+    /// Logs how often what was allowed and denied, from time to time.
+    fn log_decisions(&mut self, now: f64) {
+        if now < self.tally_at {
+            return;
+        }
+        self.tally_at = now + REPORTS_PER_TALLY * self.settings.deployment.workers.report_s;
+        self.tally.log();
     }
 
     /// Ends the bindings of workers that have been silent for longer than their lease can last.
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -2,6 +2,7 @@
 
 use super::{Leader, MAX_EARLY, Notice};
 use crate::bookkeeping::hosts::Host;
+use crate::bookkeeping::permits::{Action, Knowledge};
 use crate::protocol::worker::{Order, Report, StepReport, StepStatus, TaskId};
 use std::collections::BTreeMap;
 
@@ -20,14 +21,12 @@
 }
 
 impl Leader {
-    /// Takes a report that a worker sent by itself. The answer renews its lease, if `may_renew`: this
-    /// node knows of every cancellation that could be due. `is_open`: the open jobs that this node knows
-    /// of besides the tables.
+    /// Takes a report that a worker sent by itself. The answer renews its lease, if `knowledge` allows
+    /// it. `is_open`: the open jobs that this node knows of besides the tables.
     pub fn report(
         &mut self,
         report: &Report,
-        may_renew: bool,
-        may_start: bool,
+        knowledge: &Knowledge,
         is_open: impl Fn(&str) -> bool,
         now: f64,
     ) -> ReportAnswer {
@@ -35,7 +34,16 @@
             self.note(Notice::Epoch(report.epoch));
             return ReportAnswer::Superseded;
         }
-        if !may_renew {
+        let renewal = knowledge.may_renew();
+        self.tally.count(Action::Renew, renewal);
+        if let Err(reason) = renewal {
+            tracing::debug!(
+                host = report.host,
+                ?reason,
+                lease_age_s = knowledge.lease_age_s,
+                view_age_s = knowledge.view_age_s,
+                "lease not renewed"
+            );
             return ReportAnswer::NotNow;
         }
         if self.loading() {
@@ -61,8 +69,9 @@
         let Some(host) = self.hosts.get_mut(&report.host) else {
             return ReportAnswer::Orders(Vec::new());
         };
+        let may_start = knowledge.may_start().is_ok();
         let orders = host.orders(may_start, MAX_ORDERS);
-        host.note_sent(&orders, Some(report.tick));
+        host.note_sent(&orders, Some(report.tick), knowledge);
         if may_start && orders.len() < MAX_ORDERS {
             // The answer carries all; the next report shows what came of it.
             self.push_due.remove(&report.host);
--- a/tests/bindings.rs
+++ b/tests/bindings.rs
@@ -4,7 +4,7 @@
 
 use cedarladder::bookkeeping::hosts::{HaltReason, Host};
 use cedarladder::protocol::worker::{Cause, StepStatus, Verb};
-use common::{binding, host, spec, step, task};
+use common::{binding, host, knowledge, spec, step, task};
 
 type Setup = fn(&mut Host);
 
@@ -161,11 +161,11 @@
     use cedarladder::protocol::worker::StepStatus::Exited;
     type Steps = fn(&mut Host, &[cedarladder::protocol::worker::Order]);
     let direct: Steps = |h, o| {
-        h.note_sent(o, None);
+        h.note_sent(o, None, &knowledge());
         h.settle_direct(o, false);
     };
     let answer: Steps = |h, o| {
-        h.note_sent(o, Some(5));
+        h.note_sent(o, Some(5), &knowledge());
         h.settle_answers(6);
     };
     for (name, steps, cause, cleared) in [
@@ -196,11 +196,15 @@
 fn starts_on_their_way() {
     type Steps = fn(&mut Host, &[cedarladder::protocol::worker::Order]);
     let cases: [(&str, Steps, bool); 7] = [
-        ("sent directly", |h, o| h.note_sent(o, None), true),
+        (
+            "sent directly",
+            |h, o| h.note_sent(o, None, &knowledge()),
+            true,
+        ),
         (
             "sent directly and answered",
             |h, o| {
-                h.note_sent(o, None);
+                h.note_sent(o, None, &knowledge());
                 h.settle_direct(o, false);
             },
             false,
@@ -208,22 +212,22 @@
         (
             "the first copy lost, the second answered: the first may still arrive",
             |h, o| {
-                h.note_sent(o, None);
+                h.note_sent(o, None, &knowledge());
                 h.settle_direct(o, true);
-                h.note_sent(o, None);
+                h.note_sent(o, None, &knowledge());
                 h.settle_direct(o, false);
             },
             true,
         ),
         (
             "in the answer to report 5",
-            |h, o| h.note_sent(o, Some(5)),
+            |h, o| h.note_sent(o, Some(5), &knowledge()),
             true,
         ),
         (
             "a later report by itself settles it",
             |h, o| {
-                h.note_sent(o, Some(5));
+                h.note_sent(o, Some(5), &knowledge());
                 h.settle_answers(6);
             },
             false,
@@ -231,7 +235,7 @@
         (
             "the same report does not",
             |h, o| {
-                h.note_sent(o, Some(5));
+                h.note_sent(o, Some(5), &knowledge());
                 h.settle_answers(5);
             },
             true,
@@ -239,7 +243,7 @@
         (
             "an answered halt says nothing of an unanswered start",
             |h, o| {
-                h.note_sent(o, None);
+                h.note_sent(o, None, &knowledge());
                 let mut halt = o.to_vec();
                 halt[0].verb = Verb::Halt;
                 h.settle_direct(&halt, false);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use cedarladder::bookkeeping::hosts::{Binding, Host, Room};
 use cedarladder::bookkeeping::jobs::Job;
+use cedarladder::bookkeeping::permits::{Knowledge, Limits};
 use cedarladder::protocol::cloud::Flavor;
 use cedarladder::protocol::job::{JobSpec, Rank, Shape};
 use cedarladder::protocol::worker::{Cause, StepReport, StepStatus, TaskId};
@@ -53,6 +54,31 @@
     }
 }
 
+/// What a leader knows whose lease and view have just been confirmed.
+pub fn knowledge() -> Knowledge {
+    Knowledge {
+        leads: true,
+        lease_held: true,
+        lease_age_s: 0.1,
+        view_age_s: 0.1,
+        doubt_age_s: f64::INFINITY,
+        limits: Limits {
+            hold_over_s: 10.0,
+            start_view_s: 4.0,
+        },
+    }
+}
+
+/// What a leader knows that has seen neither its lease nor the open jobs for so long.
+pub fn knowledge_of_age(age_s: f64) -> Knowledge {
+    Knowledge {
+        lease_held: false,
+        lease_age_s: age_s,
+        view_age_s: age_s,
+        ..knowledge()
+    }
+}
+
 /// A host that is up and takes tasks.
 pub fn host(name: &str, zone: &str, spot: bool) -> Host {
     let mut host = Host::new(name, "f", zone, spot, 0.0);
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,5 +1,6 @@
 //! The election, step by step.
 
+use cedarladder::bookkeeping::permits::Denial;
 use cedarladder::bookkeeping::records::LeaderRecord;
 use cedarladder::coordination::election::{Election, Outcome, Times};
 use cedarladder::coordination::outbox::{Action, Outbox, StoreAsk};
@@ -224,10 +225,12 @@
     for (name, current_at, now, expected) in cases {
         let mut bed = Bed::new().won();
         bed.reply(StoreAsk::Renew, StoreReply::Ok, 10.0, 10.1);
-        let may_renew = bed.election.may_renew(current_at, now);
+        let knowledge = bed.election.knowledge(current_at, f64::NEG_INFINITY, now);
+        let may_renew = knowledge.may_renew().is_ok();
         assert_eq!(may_renew, expected, "{name}");
     }
-    assert!(!Bed::new().election.may_renew(10.0, 10.0), "not elected");
+    let not_elected = Bed::new().election.knowledge(10.0, 10.0, 10.0);
+    assert_eq!(not_elected.may_renew(), Err(Denial::NotLeading));
 }
 
 /// Another node takes the lead while this node's lease is on its way: its key is left alone. Taking
--- /dev/null
+++ b/tests/permits.rs
@@ -0,0 +1,66 @@
+//! What may be done on knowledge of which age, and the reason where it may not.
+
+mod common;
+
+use cedarladder::bookkeeping::permits::{Denial, Knowledge};
+use common::knowledge;
+
+/// Each: what differs from a leader that has just been confirmed, whether it may start tasks, and whether
+/// it may renew leases. Views are good for starts for 4 s, the hold-over lasts 10 s.
+#[test]
+fn knowledge_of_every_age() {
+    type Case = (
+        &'static str,
+        fn(&mut Knowledge),
+        Option<Denial>,
+        Option<Denial>,
+    );
+    let cases: [Case; 7] = [
+        ("all is new", |_| {}, None, None),
+        (
+            "does not lead",
+            |k| k.leads = false,
+            Some(Denial::NotLeading),
+            Some(Denial::NotLeading),
+        ),
+        (
+            "the lease may be over",
+            |k| k.lease_held = false,
+            Some(Denial::LeaseNotHeld),
+            None,
+        ),
+        (
+            "the state service has refused a call since the view was current",
+            |k| k.doubt_age_s = 0.05,
+            Some(Denial::StateServiceInDoubt),
+            None,
+        ),
+        (
+            "the view is too old for starts",
+            |k| k.view_age_s = 4.0,
+            Some(Denial::ViewTooOld),
+            None,
+        ),
+        (
+            "the view is too old for anything",
+            |k| k.view_age_s = 10.1,
+            Some(Denial::ViewTooOld),
+            Some(Denial::HoldOverEnded),
+        ),
+        (
+            "the lease was renewed too long ago",
+            |k| {
+                k.lease_held = false;
+                k.lease_age_s = 10.1;
+            },
+            Some(Denial::LeaseNotHeld),
+            Some(Denial::HoldOverEnded),
+        ),
+    ];
+    for (name, change, start, renew) in cases {
+        let mut knowledge = knowledge();
+        change(&mut knowledge);
+        assert_eq!(knowledge.may_start().err(), start, "{name}: start");
+        assert_eq!(knowledge.may_renew().err(), renew, "{name}: renew");
+    }
+}
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -7,7 +7,7 @@
 use cedarladder::protocol::state::StoreReply;
 use cedarladder::protocol::worker::{Order, Report, StepReport, StepStatus, Verb};
 use cedarladder::settings::Settings;
-use common::flavor;
+use common::{flavor, knowledge, knowledge_of_age};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::rc::Rc;
@@ -91,7 +91,7 @@
     for (name, reports, silence) in cases {
         let mut leader = leader();
         for (at, report) in reports {
-            let answer = leader.report(&report, true, true, |_| true, at);
+            let answer = leader.report(&report, &knowledge(), |_| true, at);
             assert_eq!(answer, ReportAnswer::Orders(Vec::new()), "{name}");
         }
         assert_eq!(leader.silent_for(30.0), silence, "{name}");
@@ -106,7 +106,7 @@
         ("ours", EPOCH, false),
         ("a higher one", EPOCH + 1, true),
     ] {
-        let answer = leader().report(&report(1, 1, epoch), true, true, |_| true, 1.0);
+        let answer = leader().report(&report(1, 1, epoch), &knowledge(), |_| true, 1.0);
         assert_eq!(answer == ReportAnswer::Superseded, expected, "{name}");
     }
 }
@@ -163,7 +163,12 @@
         let mut leader = if loaded { leader() } else { loading() };
         let mut report = report(1, 1, EPOCH);
         report.steps = steps;
-        let answer = leader.report(&report, may_renew, may_renew, |_| open, 1.0);
+        let knowledge = if may_renew {
+            knowledge()
+        } else {
+            knowledge_of_age(11.0)
+        };
+        let answer = leader.report(&report, &knowledge, |_| open, 1.0);
         let expected = if renewed {
             ReportAnswer::Orders(Vec::new())
         } else {
@@ -174,7 +179,7 @@
     // Once loaded, what belongs to no open job is stopped with the same answer.
     let mut report = report(1, 1, EPOCH);
     report.steps = running();
-    let answer = leader().report(&report, true, false, |_| false, 1.0);
+    let answer = leader().report(&report, &knowledge_of_age(9.0), |_| false, 1.0);
     let halt = Order {
         verb: Verb::Halt,
         step: "j-000001/0".into(),
