--- a/src/bookkeeping/hosts.rs
+++ b/src/bookkeeping/hosts.rs
@@ -1,9 +1,10 @@
 //! Hosts, the tasks bound to them and what their workers say.
 
 use crate::bookkeeping::failures::HostFailures;
-use crate::bookkeeping::permits::Knowledge;
+use crate::bookkeeping::pending_starts::{CallFate, PendingStarts};
+use crate::bookkeeping::permits::{self, Denial, Knowledge};
 use crate::protocol::cloud::Flavor;
-use crate::protocol::worker::{Cause, Order, Report, StepReport, StepStatus, TaskId, Verb};
+use crate::protocol::worker::{Order, Report, StepReport, StepStatus, TaskId, Verb};
 use std::collections::BTreeMap;
 
 /// Resources of a machine or a task.
@@ -120,28 +121,35 @@
     pub running: Option<f64>,
 }
 
-/// The ways on which a start may still reach the worker.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct InFlight {
-    /// Sent by the direct command that is now on its way.
-    pub direct: bool,
-    /// Sent by a direct command that never got an answer: it may arrive as long as the session and
-    /// the Epoch last.
-    pub lost: bool,
-    /// Sent in the answer to the report with this tick; settled by the next report.
-    pub answered: Option<u64>,
-    /// Sent by a direct command that was answered: a copy of it may follow as long as the session and
-    /// the Epoch last.
-    pub copies: bool,
+/// Why starts that may still arrive at a worker are revoked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RevocationReason {
+    /// Their job is over.
+    JobOver,
+    /// A task that the worker doesn't show is to leave it.
+    Halted,
+    /// An attempt that has exited can't be cleared before.
+    Clear,
+    /// Too many are kept.
+    Crowded,
 }
 
-impl InFlight {
-    /// Whether the start itself may still arrive.
-    fn is_open(&self) -> bool {
-        self.direct || self.lost || self.answered.is_some()
+impl RevocationReason {
+    /// Whether the worker is told at once, rather than with the answer to its next report.
+    pub fn is_urgent(self) -> bool {
+        matches!(self, RevocationReason::JobOver | RevocationReason::Halted)
     }
 }
 
+/// The way on which orders go to a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// In a direct command.
+    Direct,
+    /// In the answer to the report with this tick.
+    Answer(u64),
+}
+
 /// A machine and its worker.
 #[derive(Debug, Clone)]
 pub struct Host {
@@ -182,8 +190,10 @@
     pub taken_at: Option<f64>,
     /// Bound tasks.
     pub bindings: BTreeMap<TaskId, Binding>,
-    /// Starts that may still be on their way: (task, attempt).
-    pub in_flight: BTreeMap<(TaskId, u64), InFlight>,
+    /// Starts that may still arrive, and the worker's fence.
+    pub pending: PendingStarts,
+    /// A job is over of which starts may still arrive, though nothing of it is bound here.
+    pub revoke_closed: bool,
     /// Images it is believed to have, the latest last.
     pub images: Vec<String>,
     /// When it was first known.
@@ -198,9 +208,6 @@
     pub listed_up: bool,
 }
 
-/// Attempts kept on a host because they can't be cleared, beyond which direct starts are avoided: a
-/// small part of what a report may hold.
-const MAX_KEPT: usize = 64;
 /// Images remembered of each host.
 const IMAGES: usize = 16;
 
@@ -226,7 +233,8 @@
             unreached: None,
             taken_at: None,
             bindings: BTreeMap::new(),
-            in_flight: BTreeMap::new(),
+            pending: PendingStarts::default(),
+            revoke_closed: false,
             images: Vec::new(),
             since: now,
             idle_since: now,
@@ -274,6 +282,12 @@
             .find(|step| step.attempt == attempt)
     }
 
+    /// Whether the latest report shows an attempt as exited.
+    pub fn has_exited(&self, task: &TaskId, attempt: u64) -> bool {
+        self.step(task, attempt)
+            .is_some_and(|step| step.status == StepStatus::Exited)
+    }
+
     /// Remembers that the host has an image.
     pub fn note_image(&mut self, image: &str) {
         self.images.retain(|known| known != image);
@@ -283,170 +297,151 @@
         }
     }
 
-    /// Whether a start of this attempt may still be on its way to the worker.
-    pub fn start_in_flight(&self, task: &TaskId, attempt: u64) -> bool {
-        self.way(task, attempt).is_some_and(InFlight::is_open)
+    /// Whether the starts that may still arrive are to be revoked, and why. Nothing that goes out under the
+    /// present fence needs that twice.
+    pub fn revocation(&self) -> Option<RevocationReason> {
+        let mut halted = None;
+        for (task, binding) in &self.bindings {
+            let Some((_, reason)) = binding.halt else {
+                continue;
+            };
+            if binding.ending || !self.pending.needs_fence(task, binding.attempt) {
+                continue;
+            }
+            if reason == HaltReason::Over {
+                return Some(RevocationReason::JobOver);
+            }
+            if self.step(task, binding.attempt).is_none() {
+                halted = Some(RevocationReason::Halted);
+            }
+        }
+        if self.revoke_closed {
+            return Some(RevocationReason::JobOver);
+        }
+        if halted.is_some() {
+            return halted;
+        }
+        if self.keeps_exited() {
+            return Some(RevocationReason::Clear);
+        }
+        let crowded = self.pending.is_crowded() && !self.pending.awaits_fence();
+        crowded.then_some(RevocationReason::Crowded)
     }
 
-    fn way(&self, task: &TaskId, attempt: u64) -> Option<&InFlight> {
-        self.in_flight.get(&(task.clone(), attempt))
+    /// Whether an attempt that has exited can't be cleared before the fence is raised.
+    fn keeps_exited(&self) -> bool {
+        self.steps.iter().any(|(task, steps)| {
+            steps.iter().any(|step| {
+                permits::clear(self, task, step) == Err(Denial::StartMayArrive)
+                    && self.pending.needs_fence(task, step.attempt)
+            })
+        })
     }
 
-    /// Whether an exited attempt may be cleared: after that, a start that arrives late, or once more,
-    /// would run it again. Copies do no harm to a task that is done, whose result is kept.
-    fn may_clear(&self, task: &TaskId, step: &StepReport) -> bool {
-        let way = self.way(task, step.attempt);
-        way.is_none_or(|way| !way.is_open() && (step.cause == Some(Cause::Done) || !way.copies))
+    /// Revokes all starts that went out so far: the worker will execute none once it has the next message.
+    /// False: the fence can't be raised any further.
+    pub fn revoke_starts(&mut self, reason: RevocationReason) -> bool {
+        let starts = self.pending.len();
+        let raised = self.pending.raise_fence();
+        let fence = self.pending.fence();
+        tracing::debug!(
+            host = self.name,
+            ?reason,
+            fence,
+            starts,
+            raised,
+            "starts revoked"
+        );
+        self.revoke_closed = false;
+        raised
     }
 
-    /// Whether so many attempts can't be cleared that further starts should go in answers to reports,
-    /// of which there are no copies; reports must not grow without bound.
-    pub fn keeps_many(&self) -> bool {
-        self.in_flight
-            .values()
-            .filter(|way| way.lost || way.copies)
-            .count()
-            > MAX_KEPT
+    /// Whether a task that is to leave waits for the worker to show its present fence.
+    pub fn waits_for_fence(&self) -> bool {
+        self.pending.awaits_fence()
+            && self.bindings.iter().any(|(task, binding)| {
+                binding.halt.is_some()
+                    && !binding.ending
+                    && self.pending.may_arrive(task, binding.attempt)
+            })
     }
 
-    /// Forgets the starts of attempts that are neither bound nor shown any more, where only copies
-    /// might follow: these were cleared.
-    pub fn forget_cleared(&mut self) {
-        let (steps, bindings) = (&self.steps, &self.bindings);
-        self.in_flight.retain(|(task, attempt), way| {
-            way.is_open()
-                || steps
-                    .get(task)
-                    .is_some_and(|shown| shown.iter().any(|step| step.attempt == *attempt))
-                || bindings.get(task).is_some_and(|b| b.attempt == *attempt)
-        });
+    /// Notes the fence that the worker shows under this leader.
+    pub fn note_fence(&mut self, fence: u32) {
+        if fence > self.pending.fence() {
+            tracing::error!(
+                host = self.name,
+                fence,
+                given = self.pending.fence(),
+                "Epoch: the worker shows a fence that it was not given; it is taken over. Look for a \
+                 second controller with this node's label"
+            );
+        }
+        self.pending.note_shown(fence);
     }
 
-    /// Notes that the starts among these orders went out, directly or in the answer to a report.
-    pub fn note_sent(&mut self, orders: &[Order], answered: Option<u64>, knowledge: &Knowledge) {
-        let direct = answered.is_none();
-        for order in orders.iter().filter(|order| order.verb != Verb::Start) {
-            let verb = order.verb;
-            let attempt = order.attempt;
+    /// Notes orders that go out.
+    pub fn note_sent(&mut self, orders: &[Order], way: Way, knowledge: &Knowledge) {
+        for order in orders {
             tracing::debug!(
                 host = self.name,
                 task = order.step,
-                attempt,
-                ?verb,
-                direct,
+                attempt = order.attempt,
+                verb = ?order.verb,
+                ?way,
+                tenure = self.tenure,
+                fence = self.pending.fence(),
+                view_age_s = knowledge.view_age_s,
                 "order sent"
             );
-        }
-        for order in orders.iter().filter(|order| order.verb == Verb::Start) {
-            if let Some(task) = TaskId::parse(&order.step) {
-                tracing::debug!(
-                    host = self.name,
-                    %task,
-                    attempt = order.attempt,
-                    direct,
-                    tenure = self.tenure,
-                    view_age_s = knowledge.view_age_s,
-                    "start sent"
-                );
-                let way = self.in_flight.entry((task, order.attempt)).or_default();
-                match answered {
-                    Some(tick) => way.answered = Some(tick),
-                    None => way.direct = true,
-                }
+            if order.verb != Verb::Start {
+                continue;
+            }
+            let Some(task) = TaskId::parse(&order.step) else {
+                continue;
+            };
+            match way {
+                Way::Direct => self.pending.send_directly(task, order.attempt),
+                Way::Answer(tick) => self.pending.send_in_answer(task, order.attempt, tick),
             }
         }
     }
 
-    /// Notes what came of a direct call. Without an answer its starts may still arrive, and a later
-    /// answer to a repetition settles nothing about the first.
-    pub fn settle_direct(&mut self, orders: &[Order], lost: bool) {
+    /// Notes what came of a direct call.
+    pub fn settle_call(&mut self, orders: &[Order], fate: CallFate) {
         for order in orders.iter().filter(|order| order.verb == Verb::Start) {
-            if lost {
+            if fate == CallFate::Unanswered {
                 tracing::debug!(
                     host = self.name,
                     task = order.step,
                     attempt = order.attempt,
+                    fence = self.pending.fence(),
                     "start without answer: it may still arrive"
                 );
             }
-            if let Some(task) = TaskId::parse(&order.step)
-                && let Some(way) = self.in_flight.get_mut(&(task, order.attempt))
-            {
-                way.direct = false;
-                way.lost |= lost;
-                way.copies |= !lost;
-            }
-        }
-    }
-
-    /// Notes a report that the worker sent by itself: since it has one in flight at a time, the
-    /// answers to earlier ones have been executed or dropped.
-    pub fn settle_answers(&mut self, tick: u64) {
-        for way in self.in_flight.values_mut() {
-            if way.answered.is_some_and(|sent| sent < tick) {
-                way.answered = None;
+            if let Some(task) = TaskId::parse(&order.step) {
+                self.pending.settle_call(&task, order.attempt, fate);
             }
         }
-        self.in_flight.retain(|_, way| way.is_open() || way.copies);
     }
 
     /// The orders that turn what the latest report shows into what is wanted. Starts only where
     /// `may_start`, which needs a confirmed leader.
-    ///
-    /// A clear is left out while a start of that attempt may still be on its way: after the clear
-    /// it would run again.
     pub fn orders(&self, may_start: bool, limit: usize) -> Vec<Order> {
-        let order = |verb, step: String, attempt, drain_s| Order {
-            verb,
-            step,
-            attempt,
-            drain_s,
-        };
         let mut orders = Vec::new();
         for (task, steps) in &self.steps {
             for step in steps {
-                let binding = self
-                    .bindings
-                    .get(task)
-                    .filter(|b| b.attempt == step.attempt);
-                let exited = step.status == StepStatus::Exited;
-                match binding {
-                    Some(binding) => {
-                        if let Some((drain_s, _)) = binding.halt
-                            && !exited
-                            && (step.status != StepStatus::Flushing || drain_s == 0.0)
-                        {
-                            orders.push(order(
-                                Verb::Halt,
-                                step.step.clone(),
-                                step.attempt,
-                                Some(drain_s),
-                            ));
-                        }
-                    }
-                    None if exited => {
-                        if self.may_clear(task, step) {
-                            orders.push(order(Verb::Clear, step.step.clone(), step.attempt, None));
-                        }
-                    }
-                    None => orders.push(order(
-                        Verb::Halt,
-                        step.step.clone(),
-                        step.attempt,
-                        Some(0.0),
-                    )),
+                if permits::clear(self, task, step).is_ok() {
+                    orders.push(order(Verb::Clear, step.step.clone(), step.attempt, None));
+                } else if let Some(drain_s) = self.wanted_halt(task, step) {
+                    let drain_s = Some(drain_s);
+                    orders.push(order(Verb::Halt, step.step.clone(), step.attempt, drain_s));
                 }
             }
         }
-        if may_start && !self.returning {
+        if may_start {
             for (task, binding) in &self.bindings {
-                if binding.durable
-                    && !binding.inherited
-                    && !binding.ending
-                    && binding.halt.is_none()
-                    && binding.tenure == self.tenure
-                    && self.step(task, binding.attempt).is_none()
-                {
+                if permits::start(self, task, binding).is_ok() {
                     orders.push(order(Verb::Start, task.to_string(), binding.attempt, None));
                 }
             }
@@ -454,6 +449,29 @@
         orders.truncate(limit);
         orders
     }
+
+    /// The time to save of a task that is to be stopped, or stopped once more.
+    fn wanted_halt(&self, task: &TaskId, step: &StepReport) -> Option<f64> {
+        if step.status == StepStatus::Exited {
+            return None;
+        }
+        let bound = self.bindings.get(task);
+        let Some(binding) = bound.filter(|binding| binding.attempt == step.attempt) else {
+            return Some(0.0);
+        };
+        let (drain_s, _) = binding.halt?;
+        let saves = step.status == StepStatus::Flushing && drain_s > 0.0;
+        (!saves).then_some(drain_s)
+    }
+}
+
+fn order(verb: Verb, step: String, attempt: u64, drain_s: Option<f64>) -> Order {
+    Order {
+        verb,
+        step,
+        attempt,
+        drain_s,
+    }
 }
 
 /// All hosts.
--- a/src/bookkeeping/jobs.rs
+++ b/src/bookkeeping/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::bookkeeping::failures::JobFailures;
 use crate::protocol::job::{JobSpec, Shape};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A set of task numbers as a bitmap.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -67,6 +67,8 @@
     pub done: TaskSet,
     /// Where tasks are bound; a task may show up on several hosts after failures.
     pub bound: BTreeMap<u32, Vec<String>>,
+    /// Hosts where its tasks have completed while copies of their starts may still arrive.
+    pub copies_on: BTreeSet<String>,
     /// Tasks bound in each zone.
     pub zones: HashMap<String, u32>,
     /// Bound tasks that are complete already.
@@ -99,6 +101,7 @@
             since,
             done: TaskSet::new(tasks),
             bound: BTreeMap::new(),
+            copies_on: BTreeSet::new(),
             zones: HashMap::new(),
             bound_done: 0,
             running: 0,
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,8 +4,10 @@
 pub mod budget;
 pub mod failures;
 pub mod hosts;
+pub mod invariants;
 pub mod jobs;
 pub mod ledger;
+pub mod pending_starts;
 pub mod permits;
 pub mod quotas;
 pub mod records;
--- a/src/bookkeeping/permits.rs
+++ b/src/bookkeeping/permits.rs
@@ -4,6 +4,8 @@
 //! decision rests on is part of it, and the reason for each denial is a type. The module knows no clocks:
 //! ages are worked out by who asks.
 
+use super::hosts::{Binding, Host, RevocationReason};
+use crate::protocol::worker::{Cause, StepReport, StepStatus, TaskId};
 use std::collections::BTreeMap;
 
 /// What is asked for.
@@ -26,6 +28,24 @@
     StateServiceInDoubt,
     /// The view of the open jobs is too old.
     ViewTooOld,
+    /// The binding, or its end, is not written yet.
+    NotWritten,
+    /// An earlier leader bound the task, which may or may not have sent its start.
+    Inherited,
+    /// The task is to leave the machine, or its job is over.
+    Halted,
+    /// The task is bound to the machine and wanted there.
+    Bound,
+    /// The task was bound for another session of the worker.
+    OtherSession,
+    /// The worker shows the attempt already.
+    AlreadyShown,
+    /// The task has not exited.
+    NotExited,
+    /// The machine is being given back.
+    Returning,
+    /// A start of the attempt may still arrive at the worker.
+    StartMayArrive,
     /// Jobs may have been cancelled long enough ago that their tasks must be gone by the end of a lease.
     HoldOverEnded,
 }
@@ -87,10 +107,73 @@
     }
 }
 
+/// Whether a bound task may be started on its machine, by a leader that may start tasks at all.
+pub fn start(host: &Host, task: &TaskId, binding: &Binding) -> Result<(), Denial> {
+    if host.returning {
+        return Err(Denial::Returning);
+    }
+    if !binding.durable || binding.ending {
+        return Err(Denial::NotWritten);
+    }
+    if binding.inherited {
+        return Err(Denial::Inherited);
+    }
+    if binding.halt.is_some() {
+        return Err(Denial::Halted);
+    }
+    if binding.tenure != host.tenure {
+        return Err(Denial::OtherSession);
+    }
+    if host.step(task, binding.attempt).is_some() {
+        return Err(Denial::AlreadyShown);
+    }
+    Ok(())
+}
+
+/// Whether an attempt that a worker shows may be cleared. After that a start that arrives late, or once
+/// more, would run it again; copies do no harm to a task that is done, whose result is kept.
+pub fn clear(host: &Host, task: &TaskId, step: &StepReport) -> Result<(), Denial> {
+    if step.status != StepStatus::Exited {
+        return Err(Denial::NotExited);
+    }
+    let bound = host.bindings.get(task);
+    if bound.is_some_and(|binding| binding.attempt == step.attempt) {
+        return Err(Denial::NotWritten);
+    }
+    let harmless = step.cause == Some(Cause::Done) && host.pending.only_copies(task, step.attempt);
+    if host.pending.may_arrive(task, step.attempt) && !harmless {
+        return Err(Denial::StartMayArrive);
+    }
+    Ok(())
+}
+
+/// Whether a binding may end whose task the worker does not show: it is not there and won't be.
+pub fn unbind_absent(host: &Host, task: &TaskId, binding: &Binding) -> Result<(), Denial> {
+    if !binding.durable || binding.ending {
+        return Err(Denial::NotWritten);
+    }
+    if binding.inherited {
+        // Once the worker has this leader's epoch, no start of an earlier one can reach it any more.
+        return if host.acked {
+            Ok(())
+        } else {
+            Err(Denial::StartMayArrive)
+        };
+    }
+    if binding.halt.is_none() {
+        return Err(Denial::Bound);
+    }
+    if host.pending.may_arrive(task, binding.attempt) {
+        return Err(Denial::StartMayArrive);
+    }
+    Ok(())
+}
+
 /// How often actions were allowed and denied, and why.
 #[derive(Debug, Default)]
 pub struct Tally {
     counts: BTreeMap<(Action, Option<Denial>), u64>,
+    revocations: BTreeMap<RevocationReason, u64>,
 }
 
 impl Tally {
@@ -99,6 +182,11 @@
         *self.counts.entry((action, decision.err())).or_default() += 1;
     }
 
+    /// Counts a revocation of a worker's starts.
+    pub fn count_revocation(&mut self, reason: RevocationReason) {
+        *self.revocations.entry(reason).or_default() += 1;
+    }
+
     /// Logs the totals since the last time.
     pub fn log(&mut self) {
         for ((action, denial), count) in std::mem::take(&mut self.counts) {
@@ -107,5 +195,8 @@
                 Some(reason) => tracing::info!(?action, ?reason, count, "denied"),
             }
         }
+        for (reason, count) in std::mem::take(&mut self.revocations) {
+            tracing::info!(?reason, count, "starts of workers revoked");
+        }
     }
 }
--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -8,6 +8,7 @@
 use super::watch::{Watch, WatchUpdate};
 use crate::bookkeeping::budget;
 use crate::bookkeeping::hosts::Room;
+use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::permits::Knowledge;
 use crate::bookkeeping::quotas::Quotas;
 use crate::bookkeeping::records::{self, LeaderRecord};
@@ -16,7 +17,8 @@
 use crate::protocol::job::{self, JobSpec};
 use crate::protocol::peer::Heartbeat;
 use crate::protocol::state::{StoreCall, StoreReply, Txn, Write};
-use crate::protocol::worker::{Commands, Redirect, Report, WorkerReply};
+use crate::protocol::token::{ImpossibleToken, MAX_EPOCH};
+use crate::protocol::worker::{Redirect, Report, WorkerReply};
 use crate::protocol::{cbor, state};
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
@@ -238,30 +240,28 @@
     }
 
     fn report(&mut self, to: u64, body: &[u8], now: f64) {
-        let Ok(report) = cbor::decode::<Report>(body) else {
-            self.out.refuse(to, 400, "not a report", None);
-            return;
+        let report = match read_report(body) {
+            Ok(report) => report,
+            Err(error) => {
+                tracing::warn!(%error, "report refused");
+                self.out.refuse(to, 400, &error.to_string(), None);
+                return;
+            }
         };
-        let outcome = self.election.notice(report.epoch);
+        let outcome = self.election.notice(report.token.epoch());
         self.follow_outcome(outcome, now);
         let knowledge = self.knowledge(now);
         if let Some(leader) = &mut self.leader {
             let open = &self.frontend.open;
             let is_open = |id: &str| open.contains_key(id);
             match leader.report(&report, &knowledge, is_open, now) {
-                ReportAnswer::Orders(orders) => {
-                    let epoch = leader.epoch();
-                    let answer = Commands {
-                        epoch,
-                        tenure: None,
-                        orders,
-                    };
+                ReportAnswer::Orders(answer) if is_within_hold_over(&knowledge, &report) => {
                     // What else follows from it waits for the next tick: reports are many.
                     self.out.answer(to, 200, &answer);
                     return;
                 }
                 // An answer that renews no lease: the worker comes again.
-                ReportAnswer::NotNow => {
+                ReportAnswer::Orders(_) | ReportAnswer::NotNow => {
                     self.out.refuse(to, 503, "the open jobs aren't known", None);
                     return;
                 }
@@ -443,6 +443,14 @@
         if !known {
             return;
         }
+        if heartbeat.epoch > MAX_EPOCH {
+            tracing::warn!(
+                label = heartbeat.label,
+                epoch = heartbeat.epoch,
+                "heartbeat refused: epoch: above what the state service can count; restart that node"
+            );
+            return;
+        }
         let outcome = self.election.notice(heartbeat.epoch);
         self.follow_outcome(outcome, now.steady);
         self.ends.heard(&heartbeat.label, &heartbeat.ends);
@@ -732,6 +740,29 @@
     }
 }
 
+/// Why a report is refused.
+#[derive(Debug, thiserror::Error)]
+enum ReportError {
+    #[error("not a report: {0}")]
+    Malformed(#[from] cbor::CborError),
+    #[error(transparent)]
+    Token(#[from] ImpossibleToken),
+}
+
+fn read_report(body: &[u8]) -> Result<Report, ReportError> {
+    let report = cbor::decode::<Report>(body)?;
+    report.token.check()?;
+    Ok(report)
+}
+
+/// Whether an answer that renews a worker's lease may leave, by other means than those that allowed it.
+fn is_within_hold_over(knowledge: &Knowledge, report: &Report) -> bool {
+    let age_s = knowledge.lease_age_s.max(knowledge.view_age_s);
+    let within = age_s <= knowledge.limits.hold_over_s;
+    let details = format_args!("host {}, after {age_s} s", report.host);
+    invariants::uphold(Invariant::NoRenewalBeyondHoldOver, within, details)
+}
+
 fn read_leader(value: &ciborium::Value) -> Option<LeaderRecord> {
     cbor::from_value(value).ok()
 }
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::records::{self, LeaderRecord};
 use crate::protocol::cbor;
 use crate::protocol::state::{Condition, StoreCall, StoreReply, Txn, Write};
+use crate::protocol::token::MAX_EPOCH;
 use crate::settings::{DRIFT, Workers};
 
 /// Times of the election, all worked out from those of the workers.
@@ -306,7 +307,9 @@
             }
             (StoreAsk::Take, Phase::Taking { hold, since }) => {
                 let (hold, since) = (*hold, *since);
-                if let StoreReply::Committed(epoch) = *reply {
+                if let StoreReply::Committed(epoch) = *reply
+                    && is_usable(epoch)
+                {
                     self.phase = Phase::Leading { epoch, hold };
                     self.known = Some((self.me.clone(), epoch));
                     self.highest = self.highest.max(epoch);
@@ -348,3 +351,15 @@
         self.campaign_at = now + self.times.life_s * PATIENCE / 2.0;
     }
 }
+
+/// Whether tokens can be made of an epoch.
+fn is_usable(epoch: u64) -> bool {
+    let usable = epoch <= MAX_EPOCH;
+    if !usable {
+        tracing::error!(
+            epoch,
+            "leader: its Stamp is too high for tokens; move to a new state service"
+        );
+    }
+    usable
+}
--- a/src/coordination/frontend.rs
+++ b/src/coordination/frontend.rs
@@ -6,6 +6,7 @@
 
 use super::outbox::{Outbox, StoreAsk};
 use crate::bookkeeping::budget::Bucket;
+use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::records::{self, Ending, OverRecord};
 use crate::protocol::cbor;
 use crate::protocol::job::{JobSpec, JobStatus, JobView};
@@ -270,9 +271,8 @@
 
     /// A user polls.
     pub fn poll(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
-        if let Some(record) = self.finals.get(id) {
-            let view = over_view(id, record);
-            out.answer(request, 200, &view);
+        if let Some(record) = self.finals.get(id).copied() {
+            self.answer_over(request, id, &RequestKind::Poll, record, out);
             return;
         }
         self.admit(request, id, RequestKind::Poll, out, now);
@@ -287,24 +287,22 @@
         out: &mut Outbox,
         now: f64,
     ) {
-        if let Some(record) = self.finals.get(&spec.id) {
-            let status = over_status(record);
-            out.answer_state(request, 200, &spec.id, status);
-            return;
-        }
         let id = spec.id.clone();
         let kind = match unsatisfiable {
             Some(why) => RequestKind::Unsatisfiable(why),
             None => RequestKind::Submit(Rc::new(spec)),
         };
+        if let Some(record) = self.finals.get(&id).copied() {
+            self.answer_over(request, &id, &kind, record, out);
+            return;
+        }
         self.admit(request, &id, kind, out, now);
     }
 
     /// A user cancels.
     pub fn cancel(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
-        if let Some(record) = self.finals.get(id) {
-            let status = over_status(record);
-            out.answer_state(request, 200, id, status);
+        if let Some(record) = self.finals.get(id).copied() {
+            self.answer_over(request, id, &RequestKind::Cancel, record, out);
             return;
         }
         self.admit(request, id, RequestKind::Cancel, out, now);
@@ -533,8 +531,8 @@
     /// Answers a poll by a comparison that held. What has become known since then is newer and
     /// goes first; a job that was open and has been closed since is looked up, never denied.
     fn answer_poll(&mut self, pending: PendingRequest, out: &mut Outbox) {
-        if let Some(record) = self.finals.get(&pending.id) {
-            out.answer(pending.request, 200, &over_view(&pending.id, record));
+        if let Some(record) = self.finals.get(&pending.id).copied() {
+            self.answer_over(pending.request, &pending.id, &pending.kind, record, out);
         } else if self.open.contains_key(&pending.id) {
             out.answer(pending.request, 200, &self.open_view(&pending.id));
         } else if pending.compared_open {
@@ -544,6 +542,27 @@
         }
     }
 
+    /// Answers for a job that is over, as the state service has it: nobody is told so before.
+    fn answer_over(
+        &self,
+        request: u64,
+        id: &str,
+        kind: &RequestKind,
+        record: OverRecord,
+        out: &mut Outbox,
+    ) {
+        let written = self.finals.get(id).map(|known| known.ending) == Some(record.ending);
+        let details = format_args!("job {id}, {:?}", record.ending);
+        if !invariants::uphold(Invariant::NoAbortedWithoutCommit, written, details) {
+            refuse_late(request, out);
+            return;
+        }
+        match kind {
+            RequestKind::Poll => out.answer(request, 200, &over_view(id, &record)),
+            _ => out.answer_state(request, 200, id, over_status(&record)),
+        }
+    }
+
     fn open_view(&self, id: &str) -> JobView {
         let (done, running) = self.counts.get(id).copied().unwrap_or((0, 0));
         let status = if running > 0 {
@@ -592,7 +611,7 @@
                         };
                         tracing::debug!(job = pending.id, "cancelled");
                         self.announce_over(&pending.id, record);
-                        out.answer_state(pending.request, 200, &pending.id, JobStatus::Aborted);
+                        self.answer_over(pending.request, &pending.id, &pending.kind, record, out);
                     }
                 },
                 StoreReply::Conflict(failed) => {
@@ -675,11 +694,8 @@
             return;
         }
         match (state, &pending.kind) {
-            (Some(KeyState::Over(record)), RequestKind::Poll) => {
-                out.answer(request, 200, &over_view(&pending.id, record));
-            }
-            (Some(KeyState::Over(record)), _) => {
-                out.answer_state(request, 200, &pending.id, over_status(record));
+            (Some(KeyState::Over(record)), kind) => {
+                self.answer_over(request, &pending.id, kind, *record, out);
             }
             (Some(KeyState::Open(..)), RequestKind::Poll) => {
                 out.answer(request, 200, &self.open_view(&pending.id));
--- a/src/coordination/leader/direct.rs
+++ b/src/coordination/leader/direct.rs
@@ -2,10 +2,11 @@
 
 use super::reports::MAX_ORDERS;
 use super::{Leader, Notice};
-use crate::bookkeeping::hosts::Host;
+use crate::bookkeeping::hosts::{Host, Way};
+use crate::bookkeeping::pending_starts::CallFate;
 use crate::bookkeeping::permits::Knowledge;
 use crate::coordination::outbox::{Outbox, WorkerAsk};
-use crate::protocol::worker::{Commands, Order, Verb, WorkerCall, WorkerReply};
+use crate::protocol::worker::{Order, Verb, WorkerCall, WorkerReply};
 
 /// Report intervals without a report after which a worker is asked directly. They come with a
 /// quarter more at most.
@@ -38,28 +39,29 @@
                 self.push_due.remove(&name);
                 continue;
             };
-            let mut orders = if host.acked {
+            let orders = if host.acked {
                 host.orders(may_start, MAX_ORDERS)
             } else {
                 Vec::new()
             };
-            if host.keeps_many() {
-                orders.retain(|order| order.verb != Verb::Start);
-            }
+            let revoke = host.acked && host.revocation().is_some_and(|reason| reason.is_urgent());
             // A worker that has missed its latest report is asked directly, before it is thought
             // silent: it may only be on its way from a node that does not answer it.
             let probe = host.acked && !host.marked && missed(host);
             let up = host.heard.is_some() || host.listed_up || !host.bindings.is_empty();
             // Clears can wait for the next report.
             let pressing = orders.iter().any(|order| order.verb != Verb::Clear);
-            let wanted = pressing || probe || (!host.acked && !host.marked && up);
+            let revokes = revoke || (host.acked && host.waits_for_fence());
+            let wanted = pressing || revokes || probe || (!host.acked && !host.marked && up);
             if !wanted || host.endpoint.is_empty() {
                 self.push_due.remove(&name);
                 continue;
             }
             // What has just been sent is not repeated before its answer could show.
             let last = self.pushed_at.get(&name);
-            if last.is_some_and(|(sent, at)| *sent == orders && now - at < report_s / 2.0) {
+            let repeats =
+                |(sent, at): &(Vec<Order>, f64)| *sent == orders && now - at < report_s / 2.0;
+            if !revoke && last.is_some_and(repeats) {
                 continue;
             }
             if !host.acked || missed(host) {
@@ -87,32 +89,25 @@
         out: &mut Outbox,
         now: f64,
     ) {
-        let Some(host) = self.hosts.get_mut(name) else {
+        let Some(host) = self.hosts.get(name) else {
             return;
         };
+        let endpoint = host.endpoint.clone();
+        if host.acked {
+            self.revoke_where_due(name);
+        }
+        let commands = self.send_off(name, orders, Way::Direct, knowledge);
         self.push_due.remove(name);
         self.pushing.insert(name.to_owned(), doubtful);
-        host.note_sent(&orders, None, knowledge);
-        let tenure = host
-            .tenure
-            .max(host.bindings.values().map(|b| b.tenure).max().unwrap_or(1));
-        let commands = Commands {
-            epoch: self.epoch,
-            tenure: Some(tenure.max(1)),
-            orders: orders.clone(),
-        };
+        self.pushed_at
+            .insert(name.to_owned(), (commands.orders.clone(), now));
         let ask = WorkerAsk {
             epoch: self.epoch,
             host: name.to_owned(),
-            orders: orders.clone(),
+            orders: commands.orders.clone(),
         };
-        out.worker(
-            ask,
-            host.endpoint.clone(),
-            WorkerCall::Commands(commands),
-            self.settings.deployment.workers.report_s / 2.0,
-        );
-        self.pushed_at.insert(name.to_owned(), (orders, now));
+        let within_s = self.settings.deployment.workers.report_s / 2.0;
+        out.worker(ask, endpoint, WorkerCall::Commands(commands), within_s);
     }
 
     /// Takes what came of a direct call.
@@ -120,7 +115,7 @@
         self.pushing.remove(&ask.host);
         self.push_due.insert(ask.host.clone());
         if let Some(host) = self.hosts.get_mut(&ask.host) {
-            host.settle_direct(&ask.orders, matches!(reply, WorkerReply::Silent));
+            host.settle_call(&ask.orders, fate_of(&reply));
             match reply {
                 WorkerReply::Done(_) | WorkerReply::Mismatch(_) => host.unreached = None,
                 WorkerReply::Silent | WorkerReply::Unreached => {
@@ -143,10 +138,23 @@
             tracing::warn!(host = ask.host, "another worker answers at its address");
             return;
         }
-        if report.epoch > self.epoch {
-            self.note(Notice::Epoch(report.epoch));
+        if let Err(error) = report.token.check() {
+            tracing::error!(host = ask.host, %error, "answer of a worker refused");
+            return;
+        }
+        if report.token.epoch() > self.epoch {
+            self.note(Notice::Epoch(report.token.epoch()));
             return;
         }
         self.take_report(&report, false, now);
     }
 }
+
+/// What became of a direct call, as its outcome tells.
+fn fate_of(reply: &WorkerReply) -> CallFate {
+    match reply {
+        WorkerReply::Done(_) | WorkerReply::Mismatch(_) => CallFate::Answered,
+        WorkerReply::Silent => CallFate::Unanswered,
+        WorkerReply::NotSent | WorkerReply::Unreached => CallFate::NotSent,
+    }
+}
--- a/src/coordination/leader/exits.rs
+++ b/src/coordination/leader/exits.rs
@@ -1,97 +1,110 @@
 //! Compares bindings with what a worker reports: tasks that run, that have exited, and that must move.
 
 use super::Leader;
-use crate::bookkeeping::hosts::HaltReason;
-use crate::bookkeeping::jobs::Job;
+use crate::bookkeeping::hosts::{Binding, HaltReason, Host};
+use crate::bookkeeping::invariants::{self, Invariant};
+use crate::bookkeeping::jobs::{Job, Jobs};
 use crate::bookkeeping::ledger::Change;
+use crate::bookkeeping::permits;
 use crate::protocol::worker::{Cause, StepStatus, TaskId};
 
+/// What a report tells of a bound task.
+enum Finding {
+    /// It has begun to run.
+    Began,
+    /// A replica of a failing service has run for so long.
+    RanFor(f64),
+    /// It has exited for this cause; whether it was seen running before.
+    Exited(Cause, bool),
+    /// It is not there and won't be.
+    Absent,
+}
+
+/// What the latest report of a host tells of a task that is bound there.
+fn finding(
+    host: &Host,
+    task: &TaskId,
+    binding: &Binding,
+    jobs: &Jobs,
+    now: f64,
+) -> Option<Finding> {
+    if binding.ending || !binding.durable {
+        return None;
+    }
+    let Some(step) = host.step(task, binding.attempt) else {
+        let absent = permits::unbind_absent(host, task, binding).is_ok();
+        return absent.then_some(Finding::Absent);
+    };
+    match (step.status, binding.running) {
+        (StepStatus::Exited, ran) => {
+            let cause = step.cause.unwrap_or(Cause::Other);
+            Some(Finding::Exited(cause, ran.is_some()))
+        }
+        (StepStatus::Fetching, _) => None,
+        (_, None) => Some(Finding::Began),
+        (StepStatus::Running, Some(since)) => {
+            let failing = jobs.get(&task.job).is_some_and(Job::is_failing_service);
+            failing.then_some(Finding::RanFor(now - since))
+        }
+        _ => None,
+    }
+}
+
 impl Leader {
     /// Compares a host's bindings with its latest report.
     pub(super) fn settle_bindings(&mut self, name: &str, now: f64) {
-        let Some(host) = self.hosts.get_mut(name) else {
+        let Some(host) = self.hosts.get(name) else {
             return;
         };
-        let mut exits = Vec::new();
-        let mut absent = Vec::new();
-        let mut images = Vec::new();
-        let mut running = Vec::new();
-        for (task, binding) in &mut host.bindings {
-            if binding.ending || !binding.durable {
-                continue;
-            }
-            let step = host
-                .steps
-                .get(task)
-                .and_then(|steps| steps.iter().find(|s| s.attempt == binding.attempt));
-            match step {
-                Some(step) if step.status == StepStatus::Exited => {
-                    exits.push((
-                        task.clone(),
-                        binding.attempt,
-                        step.cause.unwrap_or(Cause::Other),
-                        binding.running.is_some(),
-                    ));
-                }
-                Some(step) if step.status != StepStatus::Fetching && binding.running.is_none() => {
-                    binding.running = Some(now);
-                    if let Some(job) = self.jobs.get_mut(&task.job) {
-                        job.running += 1;
-                    }
-                    tracing::debug!(host = name, %task, attempt = binding.attempt, "running");
-                    images.push(task.job.clone());
-                }
-                Some(step) => {
-                    let failed = self
-                        .jobs
-                        .get(&task.job)
-                        .is_some_and(Job::is_failing_service);
-                    if let Some(since) = binding.running.filter(|_| failed)
-                        && step.status == StepStatus::Running
-                    {
-                        running.push((task.job.clone(), now - since));
-                    }
-                }
-                // The worker has this Epoch, so no earlier leader's start can reach it any more:
-                // what it does not show is not there and won't be.
-                None if binding.inherited && host.acked => {
-                    absent.push((task.clone(), binding.attempt))
-                }
-                // Stopped before any start has gone out.
-                None if binding.halt.is_some()
-                    && !binding.inherited
-                    && !host
-                        .in_flight
-                        .contains_key(&(task.clone(), binding.attempt)) =>
-                {
-                    absent.push((task.clone(), binding.attempt));
-                }
-                None => {}
-            }
-        }
-        for job in images {
-            if let Some(job) = self.jobs.get(&job) {
-                host.note_image(&job.spec.image);
+        let findings: Vec<(TaskId, u64, Finding)> = host
+            .bindings
+            .iter()
+            .filter_map(|(task, binding)| {
+                let finding = finding(host, task, binding, &self.jobs, now)?;
+                Some((task.clone(), binding.attempt, finding))
+            })
+            .collect();
+        for (task, attempt, finding) in findings {
+            match finding {
+                Finding::Began => self.began(name, &task, attempt, now),
+                Finding::RanFor(for_s) => self.note_running(name, &task.job, for_s),
+                Finding::Absent => self.end_binding(name, &task, attempt, false),
+                Finding::Exited(cause, ran) => self.exited(name, &task, attempt, cause, ran, now),
             }
         }
-        for (job, for_s) in running {
-            self.note_running(name, &job, for_s);
-        }
-        for (task, attempt) in absent {
-            self.end_binding(name, &task, attempt, false);
+    }
+
+    fn began(&mut self, name: &str, task: &TaskId, attempt: u64, now: f64) {
+        tracing::debug!(host = name, %task, attempt, "running");
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        if let Some(binding) = host.bindings.get_mut(task) {
+            binding.running = Some(now);
         }
-        for (task, attempt, cause, ran) in exits {
-            self.exited(name, &task, attempt, cause, ran, now);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.running += 1;
+            host.note_image(&job.spec.image);
         }
     }
 
+    /// Ends a binding whose task has exited, or is not on its host and won't be.
     fn end_binding(&mut self, name: &str, task: &TaskId, attempt: u64, done: bool) {
-        let host = self.hosts.get_mut(name);
-        if let Some(binding) = host.and_then(|host| host.bindings.get_mut(task))
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let exited = host.has_exited(task, attempt);
+        let gone = exited || !host.pending.may_arrive(task, attempt);
+        let details = format_args!("host {name}, task {task}, attempt {attempt}");
+        if !invariants::uphold(Invariant::NoUnbindWhileStartMayArrive, gone, details) {
+            return;
+        }
+        if let Some(binding) = host.bindings.get_mut(task)
             && binding.attempt == attempt
             && !binding.ending
         {
             binding.ending = true;
+            tracing::debug!(host = name, %task, attempt, exited, "binding ends");
             self.ledger.push(Change::Unbind {
                 host: name.to_owned(),
                 task: task.clone(),
@@ -117,7 +130,12 @@
                 if ran {
                     self.note_finish(name, task, now);
                 }
+                let host = self.hosts.get(name);
+                let copies = host.is_some_and(|host| host.pending.may_arrive(task, attempt));
                 if let Some(job) = self.jobs.get_mut(&task.job).filter(|job| !job.standing()) {
+                    if copies {
+                        job.copies_on.insert(name.to_owned());
+                    }
                     done = job.complete(task.index);
                 }
                 self.note_success(name, &task.job);
--- a/src/coordination/leader/load.rs
+++ b/src/coordination/leader/load.rs
@@ -91,7 +91,18 @@
                 }
             } else if item.key.starts_with(records::LOG) {
                 match cbor::from_value::<Segment>(&item.value) {
-                    Ok(segment) => segments.push((item, segment)),
+                    Ok(segment) => {
+                        if segment.epoch > self.epoch {
+                            tracing::error!(
+                                key = item.key,
+                                epoch = segment.epoch,
+                                ours = self.epoch,
+                                "Epoch: the segment is of a leader after this one, which can't be; its \
+                                 bindings are kept. Look for a state service that was set back"
+                            );
+                        }
+                        segments.push((item, segment));
+                    }
                     Err(error) => tracing::error!(key = item.key, %error, "unreadable segment"),
                 }
             } else if let Some(bid) = item.key.strip_prefix(records::RENTAL)
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -7,6 +7,7 @@
 mod failure_detection;
 mod fleet;
 mod load;
+mod orders;
 mod reports;
 mod scaling;
 mod verdicts;
@@ -16,6 +17,7 @@
 use super::scheduler::{self, Pass};
 use crate::bookkeeping::budget::Bucket;
 use crate::bookkeeping::hosts::{Binding, HaltReason, Host, Hosts, Room};
+use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::jobs::{Job, Jobs};
 use crate::bookkeeping::ledger::{Change, Ledger, TxnLimits};
 use crate::bookkeeping::permits::{Action, Knowledge, Tally};
@@ -251,6 +253,18 @@
         if let Some(job) = self.jobs.remove(id) {
             self.ledger.job_over(id);
             self.halt_orphans_of(&job);
+            self.revoke_copies_of(&job);
+        }
+    }
+
+    /// Revokes copies of starts of a job's completed tasks: of a job that may have been cancelled no task
+    /// may be started, not even to exit at once.
+    fn revoke_copies_of(&mut self, job: &Job) {
+        for name in &job.copies_on {
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.revoke_closed = true;
+                self.push_due.insert(name.clone());
+            }
         }
     }
 
@@ -395,12 +409,12 @@
                 host = name,
                 "session over: silent for longer than its lease"
             );
-            self.lose_bindings(&name, |_| true);
             if let Some(host) = self.hosts.get_mut(&name) {
                 host.acked = false;
                 host.steps.clear();
-                host.in_flight.clear();
+                host.pending.end_session();
             }
+            self.lose_bindings(&name, |_| true);
         }
     }
 
@@ -410,7 +424,13 @@
             return;
         };
         for (task, binding) in &mut host.bindings {
+            let attempt = binding.attempt;
             if !binding.ending && lost(binding) {
+                let gone = !host.pending.may_arrive(task, attempt);
+                let details = format_args!("host {name}, task {task}, attempt {attempt}");
+                if !invariants::uphold(Invariant::NoUnbindWhileStartMayArrive, gone, details) {
+                    continue;
+                }
                 binding.ending = true;
                 tracing::debug!(host = name, %task, attempt = binding.attempt, "binding lost");
                 self.ledger.push(Change::Unbind {
--- /dev/null
+++ b/src/coordination/leader/orders.rs
@@ -0,0 +1,96 @@
+//! Orders that leave for a worker, by whatever way: starts that went out before are revoked with them where
+//! that is due, and what must hold is checked.
+
+use super::Leader;
+use crate::bookkeeping::hosts::{Host, Way};
+use crate::bookkeeping::invariants::{self, Invariant};
+use crate::bookkeeping::jobs::Jobs;
+use crate::bookkeeping::permits::Knowledge;
+use crate::protocol::token::Token;
+use crate::protocol::worker::{Cause, Commands, Order, TaskId, Verb};
+
+impl Leader {
+    /// The token that a worker is given now.
+    pub(super) fn token_of(&self, host: &str) -> Token {
+        let fence = self.hosts.get(host).map_or(0, |host| host.pending.fence());
+        Token::new(self.epoch, fence)
+    }
+
+    /// Raises a worker's fence if starts are to be revoked. What is on its way to it in a direct call would
+    /// be lost; only urgent revocations don't wait for that.
+    pub(super) fn revoke_where_due(&mut self, name: &str) {
+        let in_call = self.pushing.contains_key(name);
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let Some(reason) = host.revocation() else {
+            return;
+        };
+        if in_call && !reason.is_urgent() {
+            return;
+        }
+        self.tally.count_revocation(reason);
+        if !host.revoke_starts(reason) {
+            tracing::warn!(host = name, "fence can't be raised: giving back a machine");
+            self.give_back(name);
+        }
+    }
+
+    /// Makes the message with these orders, and notes that they go out.
+    pub(super) fn send_off(
+        &mut self,
+        name: &str,
+        mut orders: Vec<Order>,
+        way: Way,
+        knowledge: &Knowledge,
+    ) -> Commands {
+        let token = self.token_of(name);
+        let jobs = &self.jobs;
+        let Some(host) = self.hosts.get_mut(name) else {
+            return Commands {
+                token,
+                tenure: None,
+                orders: Vec::new(),
+            };
+        };
+        orders.retain(|order| is_sound(order, host, jobs));
+        host.note_sent(&orders, way, knowledge);
+        let tenure = match way {
+            Way::Direct => Some(session_of(host)),
+            Way::Answer(_) => None,
+        };
+        Commands {
+            token,
+            tenure,
+            orders,
+        }
+    }
+}
+
+/// The session that direct commands are for.
+fn session_of(host: &Host) -> u64 {
+    let bound = host.bindings.values().map(|binding| binding.tenure);
+    host.tenure.max(bound.max().unwrap_or(1)).max(1)
+}
+
+/// Whether an order may go out, by other means than those that made it.
+fn is_sound(order: &Order, host: &Host, jobs: &Jobs) -> bool {
+    let Some(task) = TaskId::parse(&order.step) else {
+        // Workers may show what is no task of ours; it is stopped and cleared.
+        return order.verb != Verb::Start;
+    };
+    let attempt = order.attempt;
+    let details = format_args!("host {}, task {task}, attempt {attempt}", host.name);
+    match order.verb {
+        Verb::Start => {
+            let open = jobs.get(&task.job).is_some();
+            invariants::uphold(Invariant::NoStartOfClosedJob, open, details)
+        }
+        Verb::Clear => {
+            let cause = host.step(&task, attempt).and_then(|step| step.cause);
+            let harmless = cause == Some(Cause::Done) || !host.pending.may_arrive(&task, attempt);
+            invariants::uphold(Invariant::NoClearWhileStartMayArrive, harmless, details)
+        }
+        Verb::Halt => true,
+    }
+}
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -1,9 +1,9 @@
 //! Reports of workers: what they tell, and the orders that answer them.
 
 use super::{Leader, MAX_EARLY, Notice};
-use crate::bookkeeping::hosts::Host;
+use crate::bookkeeping::hosts::{Host, Way};
 use crate::bookkeeping::permits::{Action, Knowledge};
-use crate::protocol::worker::{Order, Report, StepReport, StepStatus, TaskId};
+use crate::protocol::worker::{Commands, Order, Report, StepReport, StepStatus, TaskId};
 use std::collections::BTreeMap;
 
 /// Orders in one message, well below the size limit of messages.
@@ -13,7 +13,7 @@
 #[derive(Debug, PartialEq)]
 pub enum ReportAnswer {
     /// 200 with these orders.
-    Orders(Vec<Order>),
+    Orders(Commands),
     /// Nothing that renews its lease: what runs there may be cancelled.
     NotNow,
     /// The worker has seen a higher Epoch: 421.
@@ -30,8 +30,8 @@
         is_open: impl Fn(&str) -> bool,
         now: f64,
     ) -> ReportAnswer {
-        if report.epoch > self.epoch {
-            self.note(Notice::Epoch(report.epoch));
+        if report.token.epoch() > self.epoch {
+            self.note(Notice::Epoch(report.token.epoch()));
             return ReportAnswer::Superseded;
         }
         let renewal = knowledge.may_renew();
@@ -60,25 +60,33 @@
                 return ReportAnswer::NotNow;
             }
             self.early.insert(report.host.clone(), report.clone());
-            return ReportAnswer::Orders(Vec::new());
+            return self.answer(report, Vec::new(), knowledge);
         }
-        if !self.take_report(report, true, now) {
+        let newer = self.take_report(report, true, now);
+        self.revoke_where_due(&report.host);
+        let Some(host) = self.hosts.get(&report.host).filter(|_| newer) else {
             // Late: an answer renews nothing, and its task list is old.
-            return ReportAnswer::Orders(Vec::new());
-        }
-        let Some(host) = self.hosts.get_mut(&report.host) else {
-            return ReportAnswer::Orders(Vec::new());
+            return self.answer(report, Vec::new(), knowledge);
         };
         let may_start = knowledge.may_start().is_ok();
         let orders = host.orders(may_start, MAX_ORDERS);
-        host.note_sent(&orders, Some(report.tick), knowledge);
         if may_start && orders.len() < MAX_ORDERS {
             // The answer carries all; the next report shows what came of it.
             self.push_due.remove(&report.host);
             self.pushed_at
                 .insert(report.host.clone(), (orders.clone(), now));
         }
-        ReportAnswer::Orders(orders)
+        self.answer(report, orders, knowledge)
+    }
+
+    fn answer(
+        &mut self,
+        report: &Report,
+        orders: Vec<Order>,
+        knowledge: &Knowledge,
+    ) -> ReportAnswer {
+        let way = Way::Answer(report.tick);
+        ReportAnswer::Orders(self.send_off(&report.host, orders, way, knowledge))
     }
 
     /// Takes a report from whatever way. False: a newer one is known.
@@ -111,18 +119,19 @@
                 host.lease_from.max(now)
             };
         }
+        let ours = report.token.epoch() == self.epoch;
         let new_session = report.tenure > host.tenure;
         if new_session {
             if host.heard.is_some() {
                 // It lost a session although we answered it: perhaps our answers don't arrive.
                 host.unreached = Some(now);
             }
-            host.in_flight.clear();
+            host.pending.end_session();
             host.idle_since = now;
             // Its lease runs from its beginning, of which a direct answer may be the first word.
             host.lease_from = host.lease_from.max(now);
         } else if by_itself {
-            host.settle_answers(report.tick);
+            host.pending.settle_answers(report.tick);
         }
         if host.heard.is_none() {
             tracing::info!(
@@ -139,13 +148,14 @@
         host.tick = report.tick;
         host.first_heard.get_or_insert(now);
         host.heard = Some(now);
-        if report.epoch == self.epoch {
+        if ours {
+            host.note_fence(report.token.fence());
             // Only who has our Epoch shows that we are heard, too.
             self.last_report = Some(now);
         }
         host.endpoint.clone_from(&report.endpoint);
         host.taken_at = report.warning_s.map(|left| now + left);
-        if report.epoch == self.epoch && !host.acked {
+        if ours && !host.acked {
             // From here on nobody else's answers renew its lease, or reach it at all.
             host.acked = true;
             host.lease_from = now;
@@ -158,7 +168,6 @@
             }
         }
         host.steps = steps;
-        host.forget_cleared();
         let name = report.host.clone();
         if new_session {
             // A new session has killed and forgotten all tasks of the earlier ones.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,4 +5,5 @@
 pub mod job;
 pub mod peer;
 pub mod state;
+pub mod token;
 pub mod worker;
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -1,6 +1,7 @@
 //! The worker protocol: reports, orders and direct commands.
 
 use super::cbor;
+use super::token::Token;
 use serde::{Deserialize, Serialize};
 
 /// A task's place in its job, written `j-000412/3` on the wire.
@@ -110,7 +111,7 @@
     pub tick: u64,
     /// Highest token the worker has seen.
     #[serde(rename = "Epoch")]
-    pub epoch: u64,
+    pub token: Token,
     /// Seconds until the cloud takes the machine.
     #[serde(
         rename = "WarningS",
@@ -153,11 +154,11 @@
 }
 
 /// Answer to a report, and the body of direct commands.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Commands {
     /// Token.
     #[serde(rename = "Epoch")]
-    pub epoch: u64,
+    pub token: Token,
     /// Session; only in direct commands.
     #[serde(rename = "Tenure", skip_serializing_if = "Option::is_none", default)]
     pub tenure: Option<u64>,
--- a/tests/bindings.rs
+++ b/tests/bindings.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
-use cedarladder::bookkeeping::hosts::{HaltReason, Host};
-use cedarladder::protocol::worker::{Cause, StepStatus, Verb};
+use cedarladder::bookkeeping::hosts::{HaltReason, Host, RevocationReason, Way};
+use cedarladder::bookkeeping::pending_starts::CallFate;
+use cedarladder::protocol::worker::{Cause, Order, StepStatus, Verb};
 use common::{binding, host, knowledge, spec, step, task};
 
 type Setup = fn(&mut Host);
+type Steps = fn(&mut Host, &[Order]);
 
 fn bound(host: &mut Host, change: impl Fn(&mut cedarladder::bookkeeping::hosts::Binding)) {
     let mut b = binding(&spec("j-1", 4), 7);
@@ -121,7 +123,9 @@
             "a start may still arrive: no clear",
             |h| {
                 shows(h, 7, Exited);
-                h.in_flight.entry((task("j-1", 0), 7)).or_default().lost = true;
+                h.pending.send_directly(task("j-1", 0), 7);
+                h.pending
+                    .settle_call(&task("j-1", 0), 7, CallFate::Unanswered);
             },
             true,
             vec![],
@@ -154,25 +158,34 @@
     }
 }
 
-/// A copy of a direct start that was answered may follow as long as the session and the Epoch last.
-/// An attempt that was stopped is kept till then: cleared, it would run beside its successor.
+/// Orders that go out directly, and what became of the call.
+fn sent_directly(host: &mut Host, orders: &[Order], fate: CallFate) {
+    host.note_sent(orders, Way::Direct, &knowledge());
+    host.settle_call(orders, fate);
+}
+
+/// A direct start may arrive once more, answered or not, until the worker shows a higher fence. An attempt
+/// that was stopped is kept till then: cleared, it would run beside its successor.
 #[test]
 fn copies_of_starts() {
     use cedarladder::protocol::worker::StepStatus::Exited;
-    type Steps = fn(&mut Host, &[cedarladder::protocol::worker::Order]);
-    let direct: Steps = |h, o| {
-        h.note_sent(o, None, &knowledge());
-        h.settle_direct(o, false);
-    };
-    let answer: Steps = |h, o| {
-        h.note_sent(o, Some(5), &knowledge());
-        h.settle_answers(6);
+    let answered: Steps = |h, o| sent_directly(h, o, CallFate::Answered);
+    let unanswered: Steps = |h, o| sent_directly(h, o, CallFate::Unanswered);
+    let in_answer: Steps = |h, o| {
+        h.note_sent(o, Way::Answer(5), &knowledge());
+        h.pending.settle_answers(6);
     };
     for (name, steps, cause, cleared) in [
-        ("direct, done", direct, Cause::Done, true),
-        ("direct, stopped", direct, Cause::Stopped, false),
-        ("direct, refused", direct, Cause::Full, false),
-        ("in an answer, stopped", answer, Cause::Stopped, true),
+        ("direct, done", answered, Cause::Done, true),
+        (
+            "direct without answer, done",
+            unanswered,
+            Cause::Done,
+            false,
+        ),
+        ("direct, stopped", answered, Cause::Stopped, false),
+        ("direct, refused", answered, Cause::Full, false),
+        ("in an answer, stopped", in_answer, Cause::Stopped, true),
     ] {
         let mut host = host("h", "a", false);
         bound(&mut host, |_| {});
@@ -182,73 +195,104 @@
         host.bindings.remove(&task);
         host.steps
             .insert(task.clone(), vec![step(&task, 7, Exited, Some(cause))]);
-        host.forget_cleared();
         assert_eq!(!host.orders(true, 10).is_empty(), cleared, "{name}");
-        // Once it is cleared nothing is kept of it.
-        host.steps.clear();
-        host.forget_cleared();
-        assert!(host.in_flight.is_empty(), "{name}");
+        let reason = (!cleared).then_some(RevocationReason::Clear);
+        assert_eq!(host.revocation(), reason, "{name}");
+        // Once the worker shows a higher fence it may be cleared, and nothing is kept of it.
+        assert!(host.revoke_starts(RevocationReason::Clear));
+        assert_eq!(host.revocation(), None, "{name}: revoked once");
+        assert_eq!(
+            !host.orders(true, 10).is_empty(),
+            cleared,
+            "{name}: not shown yet"
+        );
+        host.note_fence(host.pending.fence());
+        assert_eq!(host.orders(true, 10).len(), 1, "{name}: shown");
+        assert!(host.pending.is_empty(), "{name}");
     }
 }
 
+/// What may still arrive of a start.
+#[derive(Debug, PartialEq)]
+enum Arrival {
+    Nothing,
+    Copies,
+    Start,
+}
+
 /// A start is on its way until every copy of it is accounted for.
 #[test]
 fn starts_on_their_way() {
-    type Steps = fn(&mut Host, &[cedarladder::protocol::worker::Order]);
-    let cases: [(&str, Steps, bool); 7] = [
+    let cases: [(&str, Steps, Arrival); 10] = [
         (
             "sent directly",
-            |h, o| h.note_sent(o, None, &knowledge()),
-            true,
+            |h, o| h.note_sent(o, Way::Direct, &knowledge()),
+            Arrival::Start,
         ),
         (
             "sent directly and answered",
+            |h, o| sent_directly(h, o, CallFate::Answered),
+            Arrival::Copies,
+        ),
+        (
+            "never sent",
+            |h, o| sent_directly(h, o, CallFate::NotSent),
+            Arrival::Nothing,
+        ),
+        (
+            "the first copy lost, the second answered: the first may still arrive",
             |h, o| {
-                h.note_sent(o, None, &knowledge());
-                h.settle_direct(o, false);
+                sent_directly(h, o, CallFate::Unanswered);
+                sent_directly(h, o, CallFate::Answered);
             },
-            false,
+            Arrival::Start,
         ),
         (
-            "the first copy lost, the second answered: the first may still arrive",
+            "the first copy lost, the second never sent",
             |h, o| {
-                h.note_sent(o, None, &knowledge());
-                h.settle_direct(o, true);
-                h.note_sent(o, None, &knowledge());
-                h.settle_direct(o, false);
+                sent_directly(h, o, CallFate::Unanswered);
+                sent_directly(h, o, CallFate::NotSent);
             },
-            true,
+            Arrival::Start,
         ),
         (
-            "in the answer to report 5",
-            |h, o| h.note_sent(o, Some(5), &knowledge()),
-            true,
+            "lost, and revoked, but that is not shown",
+            |h, o| {
+                sent_directly(h, o, CallFate::Unanswered);
+                assert!(h.revoke_starts(RevocationReason::Halted));
+                h.note_fence(0);
+            },
+            Arrival::Start,
         ),
         (
-            "a later report by itself settles it",
+            "lost, revoked, and the fence is shown",
             |h, o| {
-                h.note_sent(o, Some(5), &knowledge());
-                h.settle_answers(6);
+                sent_directly(h, o, CallFate::Unanswered);
+                assert!(h.revoke_starts(RevocationReason::Halted));
+                h.note_fence(1);
             },
-            false,
+            Arrival::Nothing,
         ),
         (
-            "the same report does not",
+            "in the answer to report 5",
+            |h, o| h.note_sent(o, Way::Answer(5), &knowledge()),
+            Arrival::Start,
+        ),
+        (
+            "a later report by itself settles it",
             |h, o| {
-                h.note_sent(o, Some(5), &knowledge());
-                h.settle_answers(5);
+                h.note_sent(o, Way::Answer(5), &knowledge());
+                h.pending.settle_answers(6);
             },
-            true,
+            Arrival::Nothing,
         ),
         (
-            "an answered halt says nothing of an unanswered start",
+            "the same report does not",
             |h, o| {
-                h.note_sent(o, None, &knowledge());
-                let mut halt = o.to_vec();
-                halt[0].verb = Verb::Halt;
-                h.settle_direct(&halt, false);
+                h.note_sent(o, Way::Answer(5), &knowledge());
+                h.pending.settle_answers(5);
             },
-            true,
+            Arrival::Start,
         ),
     ];
     for (name, steps, expected) in cases {
@@ -256,6 +300,109 @@
         bound(&mut host, |_| {});
         let orders = host.orders(true, 10);
         steps(&mut host, &orders);
-        assert_eq!(host.start_in_flight(&task("j-1", 0), 7), expected, "{name}");
+        let task = task("j-1", 0);
+        let arrival = match host.pending.may_arrive(&task, 7) {
+            false => Arrival::Nothing,
+            true if host.pending.only_copies(&task, 7) => Arrival::Copies,
+            true => Arrival::Start,
+        };
+        assert_eq!(arrival, expected, "{name}");
+    }
+}
+
+/// An answered halt says nothing of a start that is on its way.
+#[test]
+fn a_halt_settles_no_start() {
+    let mut host = host("h", "a", false);
+    bound(&mut host, |_| {});
+    let orders = host.orders(true, 10);
+    host.note_sent(&orders, Way::Direct, &knowledge());
+    let mut halt = orders.clone();
+    halt[0].verb = Verb::Halt;
+    host.settle_call(&halt, CallFate::Answered);
+    assert!(host.pending.may_arrive(&task("j-1", 0), 7));
+    assert!(!host.pending.only_copies(&task("j-1", 0), 7));
+}
+
+/// When the starts that went out are revoked, and whether the worker is told at once.
+#[test]
+fn revocations() {
+    use cedarladder::protocol::worker::StepStatus::Running;
+    fn halt(host: &mut Host, reason: HaltReason) {
+        let binding = host.bindings.get_mut(&task("j-1", 0)).expect("bound");
+        binding.halt = Some((0.0, reason));
+    }
+    // Each: what becomes of a start that was sent directly, and the reason with its urgency.
+    type Case = (&'static str, Setup, Option<(RevocationReason, bool)>);
+    let cases: [Case; 7] = [
+        ("wanted, and may still arrive", |_| {}, None),
+        (
+            "its job is over",
+            |h| halt(h, HaltReason::Over),
+            Some((RevocationReason::JobOver, true)),
+        ),
+        (
+            "its job is over, and it runs",
+            |h| {
+                halt(h, HaltReason::Over);
+                shows(h, 7, Running);
+            },
+            Some((RevocationReason::JobOver, true)),
+        ),
+        (
+            "preempted before it was seen",
+            |h| halt(h, HaltReason::Preempted),
+            Some((RevocationReason::Halted, true)),
+        ),
+        (
+            "drained, and it runs: the halt is enough",
+            |h| {
+                halt(h, HaltReason::Drained);
+                shows(h, 7, Running);
+            },
+            None,
+        ),
+        (
+            "its job is over and it was done here: copies may follow",
+            |h| {
+                h.bindings.clear();
+                h.revoke_closed = true;
+            },
+            Some((RevocationReason::JobOver, true)),
+        ),
+        (
+            "its job is over, and the session as well",
+            |h| {
+                halt(h, HaltReason::Over);
+                h.pending.end_session();
+            },
+            None,
+        ),
+    ];
+    for (name, setup, expected) in cases {
+        let mut host = host("h", "a", false);
+        bound(&mut host, |_| {});
+        let orders = host.orders(true, 10);
+        sent_directly(&mut host, &orders, CallFate::Unanswered);
+        setup(&mut host);
+        let revocation = host.revocation();
+        let got = revocation.map(|reason| (reason, reason.is_urgent()));
+        assert_eq!(got, expected, "{name}");
+    }
+}
+
+/// Starts of tasks that are long done don't pile up.
+#[test]
+fn many_pending_starts() {
+    let mut host = host("h", "a", false);
+    for n in 0..300 {
+        host.pending.send_directly(task("j-1", n), 7);
+        host.pending
+            .settle_call(&task("j-1", n), 7, CallFate::Answered);
     }
+    assert_eq!(host.revocation(), Some(RevocationReason::Crowded));
+    assert!(host.revoke_starts(RevocationReason::Crowded));
+    assert_eq!(host.revocation(), None);
+    host.note_fence(1);
+    assert!(host.pending.is_empty());
 }
--- a/tests/late_commands.rs
+++ b/tests/late_commands.rs
@@ -15,11 +15,14 @@
 /// A service and a long array that run all the while.
 const SERVICE: u32 = 1;
 const LONG_ARRAY: u32 = 2;
+const SHORT_ARRAY: u32 = 3;
 /// Jobs that are cancelled while their starts are held.
 const CANCELLED: std::ops::Range<u32> = 10..18;
 
-/// Work that must survive, on all machines.
+/// Work that must survive, beside short work that has just left room for the jobs to come: no task is
+/// preempted for them.
 fn steady_work(world: &mut World) {
+    world.user(SHORT_ARRAY, 0.5, (12, 24.0, false, false), None);
     world.user(SERVICE, 0.5, (4, 0.0, true, false), None);
     world.user(LONG_ARRAY, 1.0, (4, 110.0, false, false), None);
 }
@@ -125,8 +128,8 @@
         cancelled_jobs(&mut world, HELD_S[0], false);
         world.run(BEGIN + 1.0);
         for nth in 0..3 {
-            world.mute_machine(nth, CANCEL_S);
-            world.unreach_machine(nth + 3, CANCEL_S);
+            world.mute_machine(nth, LEASE_S + 4.0);
+            world.unreach_machine(nth + 3, LEASE_S - 2.0);
         }
         world.run(END);
         assert!(world.counts.held_commands > 0, "{name}: starts were held");
--- a/tests/messages.rs
+++ b/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use cedarladder::protocol::job::{BadJob, parse};
 use cedarladder::protocol::peer::{self, Ack, Counts, Heartbeat, Termination, Terminations};
+use cedarladder::protocol::token::Token;
 use cedarladder::protocol::{cbor, worker};
 use cedarladder::settings::Settings;
 use cedarladder::transport::frames::split;
@@ -214,7 +215,7 @@
     let frame = peer::encode(&heartbeat);
     assert_eq!(peer::decode(&frame), Some(heartbeat));
     let commands = worker::Commands {
-        epoch: 5,
+        token: Token::new(5, 2),
         tenure: Some(1),
         orders: vec![],
     };
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -5,7 +5,8 @@
 use cedarladder::coordination::leader::{Leader, ReportAnswer};
 use cedarladder::policy::Policy;
 use cedarladder::protocol::state::StoreReply;
-use cedarladder::protocol::worker::{Order, Report, StepReport, StepStatus, Verb};
+use cedarladder::protocol::token::Token;
+use cedarladder::protocol::worker::{Commands, Order, Report, StepReport, StepStatus, Verb};
 use cedarladder::settings::Settings;
 use common::{flavor, knowledge, knowledge_of_age};
 use rand::SeedableRng;
@@ -42,12 +43,21 @@
         spot: false,
         tenure,
         tick,
-        epoch,
+        token: Token::new(epoch, 0),
         warning_s: None,
         steps: Vec::new(),
     }
 }
 
+/// 200 with these orders, under the leader's token.
+fn answer(orders: Vec<Order>) -> ReportAnswer {
+    ReportAnswer::Orders(Commands {
+        token: Token::new(EPOCH, 0),
+        tenure: None,
+        orders,
+    })
+}
+
 /// For how long the leader thinks that nobody hears it, at second 30.
 #[test]
 fn who_is_heard() {
@@ -91,8 +101,8 @@
     for (name, reports, silence) in cases {
         let mut leader = leader();
         for (at, report) in reports {
-            let answer = leader.report(&report, &knowledge(), |_| true, at);
-            assert_eq!(answer, ReportAnswer::Orders(Vec::new()), "{name}");
+            let got = leader.report(&report, &knowledge(), |_| true, at);
+            assert_eq!(got, answer(Vec::new()), "{name}");
         }
         assert_eq!(leader.silent_for(30.0), silence, "{name}");
     }
@@ -168,23 +178,23 @@
         } else {
             knowledge_of_age(11.0)
         };
-        let answer = leader.report(&report, &knowledge, |_| open, 1.0);
+        let got = leader.report(&report, &knowledge, |_| open, 1.0);
         let expected = if renewed {
-            ReportAnswer::Orders(Vec::new())
+            answer(Vec::new())
         } else {
             ReportAnswer::NotNow
         };
-        assert_eq!(answer, expected, "{name}");
+        assert_eq!(got, expected, "{name}");
     }
     // Once loaded, what belongs to no open job is stopped with the same answer.
     let mut report = report(1, 1, EPOCH);
     report.steps = running();
-    let answer = leader().report(&report, &knowledge_of_age(9.0), |_| false, 1.0);
+    let got = leader().report(&report, &knowledge_of_age(9.0), |_| false, 1.0);
     let halt = Order {
         verb: Verb::Halt,
         step: "j-000001/0".into(),
         attempt: 7,
         drain_s: Some(0.0),
     };
-    assert_eq!(answer, ReportAnswer::Orders(vec![halt]));
+    assert_eq!(got, answer(vec![halt]));
 }
--- /dev/null
+++ b/tests/tokens.rs
@@ -0,0 +1,144 @@
+//! Fencing tokens: their order across leaders, fences and versions, and those that no controller gives.
+
+mod common;
+
+use cedarladder::coordination::controller::{Controller, Now};
+use cedarladder::coordination::outbox::Action;
+use cedarladder::policy::Policy;
+use cedarladder::protocol::cbor;
+use cedarladder::protocol::peer::{Heartbeat, Terminations};
+use cedarladder::protocol::token::{MAX_EPOCH, MAX_FENCE, Token};
+use cedarladder::settings::Settings;
+use ciborium::Value;
+use std::rc::Rc;
+
+const START: Now = Now {
+    steady: 0.0,
+    wall: 0.0,
+};
+
+fn controller() -> Controller {
+    let settings = Rc::new(Settings::parse(include_str!("world/settings.toml")).expect("settings"));
+    let policy = Rc::new(Policy::built_in(&settings));
+    Controller::new(settings, policy, 1)
+}
+
+/// A report with whatever stands for its token.
+fn report(epoch: Value) -> Vec<u8> {
+    let text = |s: &str| Value::Text(s.to_owned());
+    let fields = vec![
+        (text("Host"), text("h")),
+        (text("Endpoint"), text("10.1.0.1:9000")),
+        (text("Flavor"), text("f")),
+        (text("Grove"), text("a")),
+        (text("Windfall"), Value::Bool(false)),
+        (text("Tenure"), Value::from(1)),
+        (text("Tick"), Value::from(1)),
+        (text("Epoch"), epoch),
+        (text("Steps"), Value::Array(Vec::new())),
+    ];
+    cbor::encode(&Value::Map(fields))
+}
+
+/// Status and body of the answer to a report.
+fn answer(epoch: Value) -> (u16, String) {
+    let mut node = controller();
+    node.request(1, "POST", "/v1/report", &report(epoch), START);
+    let answer = node.take_actions().into_iter().find_map(|action| {
+        let Action::Answer { status, body, .. } = action else {
+            return None;
+        };
+        let body: Value = cbor::decode(&body).expect("CBOR");
+        Some((status, format!("{body:?}")))
+    });
+    answer.expect("an answer")
+}
+
+/// Whoever leads later has the higher token, whatever fences an earlier leader gave; the versions before
+/// gave plain epochs, which are lower than those of any leader since.
+#[test]
+fn order() {
+    let rising = [
+        ("none", Token::default()),
+        ("an epoch of a version without fences", Token::from_wire(5)),
+        ("the first leader with fences", Token::new(9, 0)),
+        ("a worker's first fence", Token::new(9, 1)),
+        ("its last fence", Token::new(9, MAX_FENCE)),
+        ("the successor", Token::new(10, 0)),
+        ("the last leader of all", Token::new(MAX_EPOCH, MAX_FENCE)),
+    ];
+    for pair in rising.windows(2) {
+        assert!(pair[0].1 < pair[1].1, "{} and {}", pair[0].0, pair[1].0);
+    }
+    let old_and_high = Token::from_wire(20_000_000);
+    assert!(old_and_high < Token::new(20_000_001, 0));
+    assert!(old_and_high.epoch() < 20_000_001);
+    let token = Token::new(41, 7);
+    assert_eq!((token.epoch(), token.fence()), (41, 7));
+    assert_eq!(
+        cbor::decode::<Token>(&cbor::encode(&token)).ok(),
+        Some(token)
+    );
+}
+
+/// Beyond the limits a token is none, and what would not fit is not wrapped round.
+#[test]
+fn limits() {
+    assert!(Token::new(MAX_EPOCH, MAX_FENCE).check().is_ok());
+    assert!(Token::from_wire(u64::MAX).check().is_err());
+    assert_eq!(Token::new(3, MAX_FENCE).epoch(), 3);
+    assert_eq!(
+        Token::new(u64::MAX, u32::MAX),
+        Token::new(MAX_EPOCH, MAX_FENCE)
+    );
+}
+
+/// A report whose token can't be is refused with the field and a remedy.
+#[test]
+fn impossible_reports() {
+    for (name, epoch, remedy) in [
+        ("too high", Value::from(u64::MAX), "restart the worker"),
+        ("below zero", Value::from(-1), "an integer from 0"),
+        ("a text", Value::Text("41".into()), "an integer from 0"),
+    ] {
+        let (status, body) = answer(epoch);
+        assert_eq!(status, 400, "{name}");
+        assert!(body.contains("Epoch: "), "{name}: {body}");
+        assert!(body.contains(remedy), "{name}: {body}");
+    }
+    assert_eq!(answer(Value::from(41)).0, 421, "a token that can be");
+}
+
+/// A peer's heartbeat with an epoch that can't be changes nothing: workers are sent to the leader known.
+#[test]
+fn impossible_heartbeats() {
+    let heartbeat = |epoch: u64| Heartbeat {
+        label: "n1".into(),
+        epoch,
+        leader: Some("n1".into()),
+        state_ok: true,
+        redirected: 0,
+        counts: Vec::new(),
+        suspects: Vec::new(),
+        changes_per_s: 0.0,
+        ends: Terminations::default(),
+    };
+    for (name, epoch, known) in [
+        ("one that can be", 7, true),
+        ("too high", MAX_EPOCH + 1, false),
+    ] {
+        let mut node = controller();
+        node.heartbeat(heartbeat(epoch), START);
+        node.request(1, "POST", "/v1/report", &report(Value::from(0)), START);
+        let told = node.take_actions().into_iter().any(|action| match action {
+            Action::Answer {
+                status: 421, body, ..
+            } => {
+                let body: Value = cbor::decode(&body).expect("CBOR");
+                format!("{body:?}").contains("n1")
+            }
+            _ => false,
+        });
+        assert_eq!(told, known, "{name}");
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -19,6 +19,7 @@
 use cedarladder::protocol::job::{JobStatus, JobView};
 use cedarladder::protocol::peer::Heartbeat;
 use cedarladder::protocol::state::{Event, Item, StoreCall, StoreReply, Txn, Write};
+use cedarladder::protocol::token::Token;
 use cedarladder::protocol::worker::{
     Cause, Commands, Redirect, Report, StepReport, StepStatus, Verb, WorkerCall, WorkerReply,
 };
--- a/tests/world/troubles.rs
+++ b/tests/world/troubles.rs
@@ -395,7 +395,7 @@
         worker.lease_from = now;
         worker.next_report = now + 0.2;
         if forgets {
-            (worker.tenure, worker.tick, worker.epoch) = (1, 0, 0);
+            (worker.tenure, worker.tick, worker.token) = (1, 0, Token::default());
         } else {
             worker.tenure += 1;
         }
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -17,7 +17,7 @@
     pub(super) cpus: f64,
     pub(super) tenure: u64,
     pub(super) tick: u64,
-    pub(super) epoch: u64,
+    pub(super) token: Token,
     pub(super) lease_from: f64,
     pub(super) tasks: BTreeMap<String, Vec<Task>>,
     pub(super) at: usize,
@@ -78,7 +78,7 @@
             spot: self.spot,
             tenure: self.tenure,
             tick: self.tick,
-            epoch: self.epoch,
+            token: self.token,
             warning_s: None,
             steps: self
                 .tasks
@@ -110,7 +110,7 @@
                 cpus: 8.0,
                 tenure: 1,
                 tick: 0,
-                epoch: 0,
+                token: Token::default(),
                 lease_from: self.now,
                 tasks: BTreeMap::new(),
                 at: self.rng.random_range(0..self.nodes.len()),
@@ -219,13 +219,13 @@
         match status {
             200 => {
                 let commands: Commands = cbor::decode(body).expect("an answer to a report");
-                if commands.epoch < worker.epoch {
+                if commands.token < worker.token {
                     return;
                 }
-                if commands.epoch > worker.epoch {
+                if commands.token > worker.token {
                     worker.next_report = now + 0.5;
                 }
-                worker.epoch = commands.epoch;
+                worker.token = commands.token;
                 worker.lease_from = sent_at;
                 self.execute(name, &commands);
             }
@@ -287,13 +287,13 @@
         }
         let reply = match call {
             WorkerCall::Commands(commands) => {
-                if commands.epoch < worker.epoch || commands.tenure != Some(worker.tenure) {
+                if commands.token < worker.token || commands.tenure != Some(worker.tenure) {
                     WorkerReply::Mismatch(Box::new(worker.report()))
                 } else {
-                    if commands.epoch > worker.epoch {
+                    if commands.token > worker.token {
                         worker.next_report = now;
                     }
-                    worker.epoch = commands.epoch;
+                    worker.token = commands.token;
                     let commands = commands.clone();
                     self.execute(host, &commands);
                     let worker = self.workers.get_mut(host).expect("still there");
