Soak: a randomized fault test on real processes over loopback

Nothing checked the built program, its sockets and its processes under overlapping troubles.

Times keep the ratios of a large deployment at a tenth. A run too slow to judge is no pass.

--- /dev/null
+++ b/examples/soak.rs
@@ -0,0 +1,23 @@
+//! Runs the soak by hand; see README.md. Exit codes: 0 no rule was broken, 1 some was, 2 wrong options,
+//! 3 this machine was too slow to judge.
+
+#[path = "../tests/soak/mod.rs"]
+mod soak;
+
+use clap::Parser;
+use soak::options::Options;
+use soak::run::Verdict;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    match soak::soak(&options) {
+        Ok(Verdict::Green) => ExitCode::SUCCESS,
+        Ok(Verdict::Broken) => ExitCode::from(1),
+        Ok(Verdict::TooSlow) => ExitCode::from(3),
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,258 @@
+//! A short run of the soak with a fixed seed, and what the soak itself must do: take only options that make
+//! sense, plan the same troubles for the same seed, and judge.
+
+#[path = "soak/mod.rs"]
+mod soak;
+
+use clap::Parser;
+use soak::clock::Clock;
+use soak::machines::{Machine, State, Step};
+use soak::options::{Options, OptionsError};
+use soak::plan::{Trouble, schedule};
+use soak::report::worst;
+use soak::run::Verdict;
+use soak::truth::{FREE_TEAM, Job, Rule, Spec, TEAM, Truth};
+use std::path::PathBuf;
+
+/// Seed, length and size of the run in CI.
+const CI_RUN: [&str; 9] = [
+    "soak",
+    "--seed",
+    "14",
+    "--duration",
+    "45",
+    "--nodes",
+    "3",
+    "--machines",
+    "24",
+];
+
+/// Real controllers, overlapping troubles: no rule is broken. A machine too slow for the run's times gets it
+/// once more at half the pace, and then is no excuse.
+#[test]
+fn a_short_soak() {
+    for scale in ["0.1", "0.2"] {
+        let arguments = CI_RUN.into_iter().chain(["--scale", scale]);
+        let mut options = Options::parse_from(arguments);
+        options.binary = Some(PathBuf::from(env!("CARGO_BIN_EXE_cedarladder")));
+        match soak::soak(&options).expect("the soak runs") {
+            Verdict::Green => return,
+            Verdict::Broken => panic!("a rule was broken: see above"),
+            Verdict::TooSlow => println!("too slow to judge at scale {scale}"),
+        }
+    }
+    panic!("this machine is too slow to judge the soak");
+}
+
+/// Options that make no sense are refused, and the message names them.
+#[test]
+fn options() {
+    for (arguments, named) in [
+        (vec!["--sed", "1"], "--sed"),
+        (vec!["--seed", "one"], "--seed"),
+        (vec!["--duration", "0"], "--duration"),
+        (vec!["--scale", "nan"], "--scale"),
+        (vec!["--nodes", "0"], "--nodes"),
+        (vec!["--machines", "5000"], "--machines"),
+        (vec!["--seeds", "f", "--seed", "1"], "--seeds"),
+    ] {
+        let all = ["soak"].into_iter().chain(arguments.clone());
+        let error = Options::try_parse_from(all).expect_err("no such options");
+        assert_eq!(error.exit_code(), 2, "{arguments:?}");
+        let text = error.to_string();
+        assert!(text.contains(named), "{arguments:?}: {text}");
+    }
+}
+
+/// A seed file that can't be read, or holds no seeds, is named with what to do.
+#[test]
+fn seed_files() {
+    let folder = std::env::temp_dir().join(format!("cedarladder-seeds-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path
+    };
+    let seeds = |path: PathBuf| {
+        let mut options = Options::parse_from(["soak"]);
+        options.seeds = Some(path);
+        options.all_seeds()
+    };
+    let good = seeds(file("good", "# of last week\n7\n\n 19\n"));
+    assert_eq!(good.ok(), Some(vec![7, 19]));
+    let missing = seeds(folder.join("missing"));
+    assert!(matches!(missing, Err(OptionsError::Unreadable { .. })));
+    let odd = seeds(file("odd", "7\n-3\n"));
+    assert!(matches!(odd, Err(OptionsError::NoSeed { line: 2, .. })));
+    let empty = seeds(file("empty", "\n"));
+    assert!(matches!(empty, Err(OptionsError::Empty { .. })));
+    for error in [missing, odd, empty].into_iter().filter_map(Result::err) {
+        let text = error.to_string();
+        assert!(text.contains("--seeds"), "{text}");
+        let remedy = text.contains("name a readable file") || text.contains("write ");
+        assert!(remedy, "{text}");
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
+/// The same seed plans the same troubles; the meeting of held starts and cancellations is in each plan.
+#[test]
+fn plans() {
+    for seed in 0..20 {
+        let plan = schedule(seed, 3, 40.0, 0.1);
+        assert_eq!(plan, schedule(seed, 3, 40.0, 0.1), "seed {seed}");
+        let held = plan.iter().find(|p| p.trouble == Trouble::HoldCommands);
+        let held = held.expect("commands are held");
+        // Half of the lateness at least.
+        assert!(held.late_s / 2.0 >= 5.15, "longer than cancel_s: {held:?}");
+        let storms = plan.iter().filter(|p| p.trouble == Trouble::CancelStorm);
+        assert!(storms.count() >= 3, "seed {seed}");
+    }
+    assert_ne!(schedule(1, 3, 40.0, 0.1), schedule(2, 3, 40.0, 0.1));
+}
+
+/// Of several verdicts the worst counts, and none at all is no pass.
+#[test]
+fn verdicts() {
+    use Verdict::{Broken, Green, TooSlow};
+    for (all, expected) in [
+        (vec![Green, Green], Green),
+        (vec![Green, TooSlow], TooSlow),
+        (vec![TooSlow, Broken, Green], Broken),
+        (vec![], TooSlow),
+    ] {
+        assert_eq!(worst(all.iter().copied()), expected, "{all:?}");
+    }
+}
+
+fn spec(id: &str, team: &'static str) -> Spec {
+    Spec {
+        id: id.to_owned(),
+        tasks: 2,
+        standing: false,
+        cpus: 4.0,
+        team,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        run_s: 1.0,
+        image: "img".to_owned(),
+    }
+}
+
+/// Each: what a world looks like in which task 0 of a job begins on h1, and the rule that this breaks.
+#[test]
+fn broken_rules_are_found() {
+    type Case = (&'static str, fn(&mut Truth), Option<Rule>);
+    fn on(truth: &mut Truth, host: &str, step: &str) {
+        let machine = truth.machines.get_mut(host).expect("a machine");
+        machine.steps.push(Step {
+            name: step.to_owned(),
+            attempt: 1,
+            state: State::Running(f64::INFINITY),
+        });
+    }
+    fn job(truth: &mut Truth) -> &mut Job {
+        truth.jobs.get_mut("j-1").expect("a job")
+    }
+    let cases: [Case; 10] = [
+        ("nothing wrong", |_| {}, None),
+        (
+            "it is on another machine",
+            |t| on(t, "h2", "j-1/0"),
+            Some(Rule::RanTwice),
+        ),
+        (
+            "cancelled long ago",
+            |t| job(t).told_cancelled = Some(-100.0),
+            Some(Rule::RanCancelled),
+        ),
+        (
+            "cancelled just now",
+            |t| job(t).told_cancelled = Some(0.0),
+            None,
+        ),
+        (
+            "its team is at its limit",
+            |t| on(t, "h2", "j-2/0"),
+            Some(Rule::Quota),
+        ),
+        (
+            "another team is beyond any limit",
+            |t| {
+                job(t).spec.team = FREE_TEAM;
+                on(t, "h2", "j-2/0");
+            },
+            None,
+        ),
+        (
+            "the wrong zone",
+            |t| job(t).spec.zone = Some("b"),
+            Some(Rule::WrongPlace),
+        ),
+        (
+            "a spot machine",
+            |t| t.machines.get_mut("h1").expect("a machine").spot = true,
+            Some(Rule::WrongPlace),
+        ),
+        (
+            "one zone, and its mate is in the other",
+            |t| {
+                job(t).spec.one_zone = true;
+                on(t, "h2", "j-1/1");
+            },
+            Some(Rule::WrongPlace),
+        ),
+        (
+            "spread, and its mate is in the same zone",
+            |t| {
+                job(t).spec.spread = true;
+                on(t, "h1", "j-1/1");
+            },
+            Some(Rule::WrongPlace),
+        ),
+    ];
+    for (name, change, expected) in cases {
+        let mut truth = Truth::new(1, Clock::new(0.1), 8.0);
+        for (host, zone) in [("h1", "a"), ("h2", "b")] {
+            let machine = Machine::new(host.to_owned(), zone, false, 0.0);
+            truth.machines.insert(host.to_owned(), machine);
+        }
+        for id in ["j-1", "j-2"] {
+            truth
+                .jobs
+                .insert(id.to_owned(), Job::new(spec(id, TEAM), 0.0));
+        }
+        // The other job's task takes all that is left of the limit.
+        truth.jobs.get_mut("j-2").expect("a job").spec.cpus = 8.0;
+        change(&mut truth);
+        truth.check_begin("h1", "j-1/0", 1);
+        let found: Vec<Rule> = truth.findings.iter().map(|finding| finding.rule).collect();
+        assert_eq!(found, expected.into_iter().collect::<Vec<_>>(), "{name}");
+    }
+}
+
+/// What is still on a machine past its job's cancellation is found once.
+#[test]
+fn cancelled_tasks_are_found() {
+    let mut truth = Truth::new(1, Clock::new(0.1), 8.0);
+    let mut machine = Machine::new("h1".to_owned(), "a", false, 0.0);
+    machine.steps.push(Step {
+        name: "j-1/0".to_owned(),
+        attempt: 1,
+        state: State::Running(f64::INFINITY),
+    });
+    truth.machines.insert("h1".to_owned(), machine);
+    truth
+        .jobs
+        .insert("j-1".to_owned(), Job::new(spec("j-1", TEAM), 0.0));
+    truth.check_cancelled();
+    assert!(truth.findings.is_empty(), "not cancelled");
+    truth.jobs.get_mut("j-1").expect("a job").told_cancelled = Some(-100.0);
+    truth.check_cancelled();
+    truth.check_cancelled();
+    let found: Vec<Rule> = truth.findings.iter().map(|finding| finding.rule).collect();
+    assert_eq!(found, [Rule::RanCancelled]);
+}
--- /dev/null
+++ b/tests/soak/cloud.rs
@@ -0,0 +1,275 @@
+//! The cloud: it rents machines, boots them, lists them with a lag, and deletes them.
+
+use super::http::{Reply, Request};
+use super::machines::{CPUS, FLAVOR, Machine, Worker};
+use super::plan::Trouble;
+use super::state::ErrorBody;
+use super::truth::{Shared, lock};
+use cedarladder::protocol::cbor;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+
+/// The zones.
+pub const ZONES: [&str; 2] = ["a", "b"];
+/// Seconds of the protocol by which requests are late during a trouble of the cloud.
+const LATE_S: (f64, f64) = (1.0, 20.0);
+
+#[derive(Serialize)]
+struct Flavors {
+    #[serde(rename = "Flavors")]
+    flavors: Vec<Flavor>,
+}
+
+#[derive(Serialize)]
+struct Flavor {
+    #[serde(rename = "Label")]
+    label: &'static str,
+    #[serde(rename = "Cores")]
+    cpus: f64,
+    #[serde(rename = "Gpus")]
+    gpus: f64,
+    #[serde(rename = "RamGb")]
+    ram: f64,
+    #[serde(rename = "LocalGb")]
+    cache_gb: f64,
+    #[serde(rename = "PullGbPerS")]
+    pull_gb_s: f64,
+    #[serde(rename = "Hourly")]
+    hourly: f64,
+    #[serde(rename = "MarketPrice")]
+    market_price: f64,
+    #[serde(rename = "ReadyS")]
+    ready_s: f64,
+    #[serde(rename = "Groves")]
+    zones: Vec<&'static str>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Rental {
+    #[serde(rename = "Bid")]
+    bid: String,
+    #[serde(rename = "Grove")]
+    zone: String,
+    #[serde(rename = "Windfall")]
+    spot: bool,
+    #[serde(rename = "Count")]
+    count: usize,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Names {
+    #[serde(rename = "Hosts")]
+    hosts: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Listed {
+    #[serde(rename = "NameId")]
+    name: String,
+    #[serde(rename = "Endpoint")]
+    endpoint: String,
+    #[serde(rename = "Flavor")]
+    flavor: &'static str,
+    #[serde(rename = "Grove")]
+    zone: &'static str,
+    #[serde(rename = "Windfall")]
+    spot: bool,
+    #[serde(rename = "Status")]
+    status: &'static str,
+    #[serde(rename = "AgeS")]
+    age_s: f64,
+}
+
+#[derive(Serialize)]
+struct List {
+    #[serde(rename = "Hosts")]
+    hosts: Vec<Listed>,
+    #[serde(rename = "More")]
+    more: bool,
+}
+
+/// The cloud.
+#[derive(Clone)]
+pub struct Cloud {
+    pub truth: Shared,
+    pub nodes: Vec<SocketAddr>,
+    /// Machines of each zone and kind that it has.
+    pub pool: usize,
+    rented: Arc<Mutex<BTreeMap<String, Vec<String>>>>,
+}
+
+impl Cloud {
+    pub fn new(truth: Shared, nodes: Vec<SocketAddr>, pool: usize) -> Cloud {
+        Cloud {
+            truth,
+            nodes,
+            pool,
+            rented: Arc::default(),
+        }
+    }
+
+    /// Answers a controller.
+    pub async fn handle(self, request: Request) -> Option<Reply> {
+        let (late, late_s, clock) = {
+            let truth = &mut *lock(&self.truth);
+            let trouble = truth.faults.any(Trouble::DisturbCloud);
+            if trouble {
+                truth.faults.note(Trouble::DisturbCloud);
+            }
+            let late = trouble && truth.chance.random_bool(0.4);
+            if trouble && !late {
+                return Some(Reply::new(503, &ErrorBody { error: "trouble" }));
+            }
+            let late_s = truth
+                .clock
+                .scaled(truth.chance.random_range(LATE_S.0..LATE_S.1));
+            (late, late_s, truth.clock)
+        };
+        if late {
+            clock.sleep(late_s).await;
+        }
+        let reply = match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/machine_types") => self.types(),
+            ("POST", "/machines") => self.rent(&request.body),
+            ("POST", "/machines/delete") => self.delete(&request.body),
+            ("GET", "/machines") => self.list(request.query.get("From")),
+            _ => Reply::new(400, &()),
+        };
+        (!late).then_some(reply)
+    }
+
+    fn types(&self) -> Reply {
+        let ready_s = lock(&self.truth).times.ready_s;
+        let flavor = Flavor {
+            label: FLAVOR,
+            cpus: CPUS,
+            gpus: 0.0,
+            ram: 64.0,
+            cache_gb: 100.0,
+            pull_gb_s: 1.0,
+            hourly: 1.0,
+            market_price: 0.3,
+            ready_s,
+            zones: ZONES.to_vec(),
+        };
+        Reply::new(
+            200,
+            &Flavors {
+                flavors: vec![flavor],
+            },
+        )
+    }
+
+    fn rent(&self, body: &[u8]) -> Reply {
+        let Ok(rental) = cbor::decode::<Rental>(body) else {
+            return Reply::new(400, &());
+        };
+        let Some(zone) = ZONES.into_iter().find(|zone| *zone == rental.zone) else {
+            return Reply::new(400, &());
+        };
+        let mut rented = self.rented.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some(hosts) = rented.get(&rental.bid) {
+            let hosts = hosts.clone();
+            return Reply::new(200, &Names { hosts });
+        }
+        let truth = &mut *lock(&self.truth);
+        let there = truth
+            .machines
+            .values()
+            .filter(|m| m.gone.is_none() && m.zone == zone && m.spot == rental.spot)
+            .count();
+        let count = rental.count.min(self.pool.saturating_sub(there));
+        if count == 0 {
+            return Reply::new(
+                503,
+                &ErrorBody {
+                    error: "no capacity",
+                },
+            );
+        }
+        let now = truth.clock.now();
+        let mut hosts = Vec::new();
+        for _ in 0..count {
+            truth.counts.machines_rented += 1;
+            let name = format!("host-{:06}", truth.counts.machines_rented);
+            let machine = Machine::new(name.clone(), zone, rental.spot, now);
+            truth.machines.insert(name.clone(), machine);
+            let boot_s = truth.times.ready_s * truth.chance.random_range(0.6..1.5);
+            tokio::spawn(self.clone().boot(name.clone(), boot_s));
+            hosts.push(name);
+        }
+        rented.insert(rental.bid, hosts.clone());
+        Reply::new(200, &Names { hosts })
+    }
+
+    async fn boot(self, name: String, boot_s: f64) {
+        let clock = lock(&self.truth).clock;
+        clock.sleep(boot_s).await;
+        let Ok(listener) = TcpListener::bind(("127.0.0.1", 0)).await else {
+            return;
+        };
+        let Ok(address) = listener.local_addr() else {
+            return;
+        };
+        {
+            let mut truth = lock(&self.truth);
+            let Some(machine) = truth.machines.get_mut(&name) else {
+                return;
+            };
+            if machine.gone.is_some() {
+                return;
+            }
+            machine.begin(address, clock.now());
+        }
+        let worker = Worker {
+            name,
+            truth: self.truth.clone(),
+            clock,
+            nodes: self.nodes.clone(),
+        };
+        worker.run(listener).await;
+    }
+
+    fn delete(&self, body: &[u8]) -> Reply {
+        let Ok(names) = cbor::decode::<Names>(body) else {
+            return Reply::new(400, &());
+        };
+        let mut truth = lock(&self.truth);
+        for name in &names.hosts {
+            truth.counts.machines_deleted += 1;
+            truth.remove_machine(name);
+        }
+        Reply::new(200, &())
+    }
+
+    /// The machines as they were some time ago.
+    fn list(&self, from: Option<&String>) -> Reply {
+        let truth = &mut *lock(&self.truth);
+        let lag_s = truth.times.list_lag_s * truth.chance.random_range(0.5..2.0);
+        let then = truth.clock.now() - lag_s;
+        let hosts = truth
+            .machines
+            .values()
+            .filter(|m| from.is_none_or(|from| m.name > *from))
+            .filter(|m| m.rented <= then && m.gone.is_none_or(|gone| gone > then))
+            .map(|m| Listed {
+                name: m.name.clone(),
+                endpoint: m.address.map_or(String::new(), |at| at.to_string()),
+                flavor: FLAVOR,
+                zone: m.zone,
+                spot: m.spot,
+                status: if m.up.is_some_and(|up| up <= then) {
+                    "running"
+                } else {
+                    "starting"
+                },
+                age_s: then - m.rented,
+            });
+        let hosts = hosts.collect();
+        Reply::new(200, &List { hosts, more: false })
+    }
+}
--- /dev/null
+++ b/tests/soak/controllers.rs
@@ -0,0 +1,179 @@
+//! The controllers: real processes of the built program, which are killed, stopped, continued and restarted.
+
+use super::clock::Times;
+use super::truth::{FREE_TEAM, TEAM};
+use rustix::process::{Pid, Signal, kill_process};
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// Addresses of one controller.
+#[derive(Debug, Clone)]
+pub struct Addresses {
+    pub users: SocketAddr,
+    pub peers: SocketAddr,
+    /// Where it reaches each of the others: a proxy for this pair.
+    pub seeds: Vec<(usize, SocketAddr)>,
+    pub state: SocketAddr,
+    pub cloud: SocketAddr,
+}
+
+/// One controller.
+pub struct Controller {
+    label: String,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// What a controller's log shows against it.
+pub struct LogFinding {
+    pub line: String,
+}
+
+impl Controller {
+    /// Writes its settings; it is not started yet.
+    pub fn new(
+        number: usize,
+        program: &Path,
+        folder: &Path,
+        addresses: &Addresses,
+        times: &Times,
+        team_cpus: f64,
+    ) -> io::Result<Controller> {
+        let label = format!("n{number}");
+        let settings = folder.join(format!("{label}.toml"));
+        std::fs::write(
+            &settings,
+            settings_text(&label, addresses, times, team_cpus),
+        )?;
+        Ok(Controller {
+            log: folder.join(format!("{label}.log")),
+            label,
+            program: program.to_owned(),
+            settings,
+            child: None,
+        })
+    }
+
+    /// Starts it, unless it runs.
+    pub fn start(&mut self) -> io::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--config")
+            .arg(&self.settings)
+            .env("LOG_LEVEL", "debug")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Stops it where it is.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether it has ended by itself, and how.
+    pub fn ended(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(format!("{} ended by itself: {status}", self.label))
+    }
+
+    /// Lines of its log that no run may bring about.
+    pub fn log_findings(&self) -> Vec<LogFinding> {
+        let text = std::fs::read(&self.log).unwrap_or_default();
+        String::from_utf8_lossy(&text)
+            .lines()
+            .filter(|line| line.contains("ERROR") || line.contains("panicked"))
+            .map(|line| LogFinding {
+                line: format!("{}: {line}", self.label),
+            })
+            .collect()
+    }
+
+    /// How often its log says something.
+    pub fn count_in_log(&self, text: &str) -> u64 {
+        let log = std::fs::read(&self.log).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log);
+        log.lines().filter(|line| line.contains(text)).count() as u64
+    }
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn settings_text(label: &str, addresses: &Addresses, times: &Times, team_cpus: f64) -> String {
+    let Addresses {
+        users,
+        peers,
+        seeds,
+        state,
+        cloud,
+    } = addresses;
+    let mut text =
+        format!("label = \"{label}\"\nsite = \"a\"\nbind = \"{users}\"\npeer_bind = \"{peers}\"\n");
+    for (number, address) in seeds {
+        let _ = write!(
+            text,
+            "[[seeds]]\nlabel = \"n{number}\"\nsite = \"a\"\naddress = \"{address}\"\n"
+        );
+    }
+    let nodes = seeds.len() + 1;
+    let Times {
+        report_s,
+        lease_s,
+        cancel_s,
+        list_lag_s,
+        ..
+    } = times;
+    let _ = write!(
+        text,
+        "[services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
+         [deployment]\ninitial_size = {nodes}\nzones = [\"a\", \"b\"]\nskew_ms = 10.0\n\
+         [[deployment.teams]]\nname = \"{TEAM}\"\ncpus = {half:?}\ncpus_max = {team_cpus:?}\n\
+         [[deployment.teams]]\nname = \"{FREE_TEAM}\"\n\
+         [deployment.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ncancel_s = {cancel_s:?}\n\
+         [deployment.state]\nrps = 1500.0\nwrite_rps = 600.0\nvalue_kb = 8.0\ntxn_ops = 48\n\
+         [deployment.cloud]\nrps = 40.0\nlist_lag_s = {list_lag_s:?}\n\
+         [deployment.quota]\ncore_share = 1.0\nmem_mb = 512.0\nmax_sockets = 2000\n",
+        half = team_cpus / 2.0,
+    );
+    text
+}
--- /dev/null
+++ b/tests/soak/http.rs
@@ -0,0 +1,182 @@
+//! HTTP of the stand-ins: servers that may leave a request without an answer, and a client with a time limit.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// A request as a stand-in sees it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub query: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// An answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<f64>,
+}
+
+impl Reply {
+    pub fn new<T: serde::Serialize>(status: u16, message: &T) -> Reply {
+        Reply {
+            status,
+            body: cedarladder::protocol::cbor::encode(message),
+            retry_after_s: None,
+        }
+    }
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoReply {
+    /// No connection came about.
+    Unreached,
+    /// There was none in time, or the connection ended.
+    Silent,
+}
+
+/// Serves connections until the task is dropped. A handler that returns nothing leaves its request
+/// without an answer for as long as the connection lasts.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Reply>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| answer(request, handler.clone()));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn answer<H, F>(
+    request: hyper::Request<hyper::body::Incoming>,
+    handler: H,
+) -> Result<hyper::Response<Full<Bytes>>, Infallible>
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Option<Reply>> + Send + 'static,
+{
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await;
+    let body = body
+        .map(|body| body.to_bytes().to_vec())
+        .unwrap_or_default();
+    let query = parts.uri.query().unwrap_or("");
+    let request = Request {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        query: query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
+        body,
+    };
+    // What has begun is carried out even if the connection ends meanwhile.
+    let reply = tokio::spawn(handler(request)).await.ok().flatten();
+    let Some(reply) = reply else {
+        return std::future::pending().await;
+    };
+    let response = hyper::Response::builder().status(reply.status);
+    let response = response.body(Full::new(Bytes::from(reply.body)));
+    Ok(response.unwrap_or_default())
+}
+
+/// A connection that is made anew whenever it has ended.
+#[derive(Default)]
+pub struct Client {
+    open: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
+}
+
+impl Client {
+    /// Makes a call and waits so long for its answer.
+    pub async fn call(
+        &mut self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+        within_s: f64,
+    ) -> Result<Reply, NoReply> {
+        let within = Duration::from_secs_f64(within_s.max(0.0));
+        let outcome = tokio::time::timeout(within, self.exchange(to, method, path, body)).await;
+        match outcome {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(error)) => {
+                self.open = None;
+                Err(error)
+            }
+            Err(_) => {
+                self.open = None;
+                Err(NoReply::Silent)
+            }
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Reply, NoReply> {
+        let usable = matches!(&self.open, Some((at, sender)) if *at == to && !sender.is_closed());
+        if !usable {
+            self.open = Some((to, connect(to).await?));
+        }
+        let Some((_, sender)) = &mut self.open else {
+            return Err(NoReply::Unreached);
+        };
+        sender.ready().await.map_err(|_| NoReply::Silent)?;
+        let request = hyper::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("Host", to.to_string())
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| NoReply::Unreached)?;
+        let response = sender.send_request(request).await;
+        let (parts, body) = response.map_err(|_| NoReply::Silent)?.into_parts();
+        let body = body.collect().await.map_err(|_| NoReply::Silent)?;
+        let retry_after = parts.headers.get("Retry-After");
+        Ok(Reply {
+            status: parts.status.as_u16(),
+            body: body.to_bytes().to_vec(),
+            retry_after_s: retry_after.and_then(|text| text.to_str().ok()?.parse().ok()),
+        })
+    }
+}
+
+async fn connect(to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, NoReply> {
+    let stream = TcpStream::connect(to)
+        .await
+        .map_err(|_| NoReply::Unreached)?;
+    let _ = stream.set_nodelay(true);
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| NoReply::Unreached)?;
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,190 @@
+//! The schedule of troubles, worked out from a seed before a run begins.
+
+use super::clock::Times;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+/// What may go wrong for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Trouble {
+    /// A controller is killed, and restarted when the trouble ends.
+    KillNode,
+    /// A controller is stopped by a signal, and continued when the trouble ends.
+    PauseNode,
+    /// The state service refuses one controller.
+    RefuseNode,
+    /// The state service refuses all.
+    StateOutage,
+    /// The state service executes what a controller asks, and its answers are lost.
+    LoseStateAnswers,
+    /// The state service hears nothing of a controller.
+    CutFromState,
+    /// Part of the transactions get no answer, and are executed later.
+    LateTransactions,
+    /// A controller and its peers don't hear one another.
+    CutPeers,
+    /// Direct commands are held, unanswered, and executed later.
+    HoldCommands,
+    /// Direct commands arrive twice.
+    CopyCommands,
+    /// Copies of reports arrive later, at any controller.
+    CopyReports,
+    /// Reports are lost, or arrive after their sender has given up.
+    HoldReports,
+    /// Neither answers nor commands reach some machines; their reports arrive.
+    DeafMachines,
+    /// Some machines reach no controller; direct commands reach them.
+    MuteMachines,
+    /// Some machines stand still.
+    HangMachines,
+    /// Some machines are cut off in both directions.
+    CutMachines,
+    /// A controller and the workers don't reach one another.
+    CutFromWorkers,
+    /// Spot machines are taken away.
+    TakeSpot,
+    /// Users cancel many jobs at once.
+    CancelStorm,
+    /// The cloud refuses all, or carries requests out late.
+    DisturbCloud,
+}
+
+const ALL: [Trouble; 20] = [
+    Trouble::KillNode,
+    Trouble::PauseNode,
+    Trouble::RefuseNode,
+    Trouble::StateOutage,
+    Trouble::LoseStateAnswers,
+    Trouble::CutFromState,
+    Trouble::LateTransactions,
+    Trouble::CutPeers,
+    Trouble::HoldCommands,
+    Trouble::CopyCommands,
+    Trouble::CopyReports,
+    Trouble::HoldReports,
+    Trouble::DeafMachines,
+    Trouble::MuteMachines,
+    Trouble::HangMachines,
+    Trouble::CutMachines,
+    Trouble::CutFromWorkers,
+    Trouble::TakeSpot,
+    Trouble::CancelStorm,
+    Trouble::DisturbCloud,
+];
+
+/// Which controller a trouble is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// Whoever leads when it begins.
+    Leader,
+    /// This one.
+    Node(usize),
+}
+
+/// A trouble with its times.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Planned {
+    pub trouble: Trouble,
+    pub at: f64,
+    pub for_s: f64,
+    pub target: Target,
+    /// Share of messages or machines that it is for.
+    pub share: f64,
+    /// For how long messages are held or late.
+    pub late_s: f64,
+}
+
+/// Seconds of the protocol before the first trouble: machines are up and jobs run.
+const WARM_UP_S: f64 = 60.0;
+/// Seconds of the protocol between two moments at which troubles begin.
+const PAUSE_S: (f64, f64) = (15.0, 55.0);
+/// Troubles that begin at a moment.
+const AT_ONCE: (usize, usize) = (1, 3);
+
+/// The troubles of a run whose last one begins before `duration` is over.
+pub fn schedule(seed: u64, nodes: usize, duration: f64, scale: f64) -> Vec<Planned> {
+    let mut chance = SmallRng::seed_from_u64(seed);
+    let times = Times::new(scale);
+    let mut plan = Vec::new();
+    let mut at = WARM_UP_S * scale;
+    while at < duration {
+        if plan.is_empty() {
+            plan = starts_held_past_cancellations(at, &times, &mut chance);
+        }
+        let wanted: Vec<Trouble> = {
+            let count = chance.random_range(AT_ONCE.0..=AT_ONCE.1);
+            ALL.choose_multiple(&mut chance, count).copied().collect()
+        };
+        for trouble in wanted {
+            let delay = chance.random::<f64>() * 3.0 * scale;
+            plan.push(planned(trouble, at + delay, nodes, &times, &mut chance));
+        }
+        at += scale * chance.random_range(PAUSE_S.0..PAUSE_S.1);
+    }
+    plan.sort_by(|a, b| a.at.total_cmp(&b.at));
+    plan
+}
+
+/// The meeting of late starts and cancellations, with which every run begins: direct commands are held for
+/// longer than cancelled tasks may last, and users cancel meanwhile.
+fn starts_held_past_cancellations(at: f64, times: &Times, chance: &mut SmallRng) -> Vec<Planned> {
+    let held = Planned {
+        trouble: Trouble::HoldCommands,
+        at,
+        for_s: times.lease_s,
+        target: Target::Leader,
+        share: chance.random_range(0.6..1.0),
+        late_s: times.cancel_s * 2.0,
+    };
+    let storm = |delay_s: f64| Planned {
+        trouble: Trouble::CancelStorm,
+        at: at + delay_s,
+        for_s: 0.0,
+        share: 0.8,
+        ..held
+    };
+    vec![
+        held,
+        storm(times.report_s),
+        storm(times.report_s * 3.0),
+        storm(times.lease_s),
+    ]
+}
+
+fn planned(
+    trouble: Trouble,
+    at: f64,
+    nodes: usize,
+    times: &Times,
+    chance: &mut SmallRng,
+) -> Planned {
+    // Moments, less than a lease, more than one, or more than a cancellation takes.
+    let lengths = [
+        times.retry_s,
+        times.lease_s,
+        1.5 * times.lease_s,
+        1.4 * times.cancel_s,
+    ];
+    let length = lengths[chance.random_range(0..lengths.len())];
+    let target = if chance.random_bool(0.6) {
+        Target::Leader
+    } else {
+        Target::Node(chance.random_range(0..nodes))
+    };
+    let late_s = match trouble {
+        Trouble::LateTransactions => chance.random_range(2.0..12.0) * times.retry_s,
+        Trouble::CopyReports | Trouble::HoldReports => {
+            chance.random_range(0.1..2.0) * times.lease_s
+        }
+        _ => chance.random_range(0.1..2.0) * times.cancel_s,
+    };
+    Planned {
+        trouble,
+        at,
+        for_s: length * chance.random_range(0.1..1.1),
+        target,
+        share: chance.random_range(0.15..1.0),
+        late_s,
+    }
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,478 @@
+//! One run: everything is started, troubles come by their schedule, and the rules are checked to the end.
+
+use super::clock::{Clock, Times};
+use super::cloud::Cloud;
+use super::controllers::{Addresses, Controller};
+use super::http::serve;
+use super::machines::CPUS;
+use super::options::Options;
+use super::plan::{Planned, Target, Trouble, schedule};
+use super::proxy::Proxy;
+use super::state::StateService;
+use super::truth::{Counts, Finding, Rule, Shared, TEAM, Truth, lock};
+use super::users::{Users, draw_job};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// Seconds of the protocol after all troubles within which everything is as it should be.
+const CALM_S: f64 = 240.0;
+/// Seconds of the protocol after which a job without an answer is forgotten, and one that waits beside room
+/// waits too long.
+const FORGOTTEN_S: f64 = 75.0;
+const WAITS_S: f64 = 90.0;
+/// Share of the machines' CPUs that open jobs ask for at most.
+const LOAD: f64 = 0.7;
+/// Share of the machines' CPUs that the limited team may use.
+const TEAM_SHARE: f64 = 0.4;
+/// Seconds of the protocol between two new jobs, for each machine.
+const JOB_EVERY_S: f64 = 24.0;
+/// Delays of the stand-ins, as a share of a report interval, from which a moment counts as slow.
+const SLOW: f64 = 0.3;
+/// Seconds between two looks at the stand-ins' own delays.
+const BEAT_S: f64 = 0.02;
+/// Slow moments of a run from which it can't be judged.
+const MAX_SLOW: u64 = 10;
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// No rule was broken.
+    Green,
+    /// Some rule was broken.
+    Broken,
+    /// This machine was too slow for the run's times: nothing can be said.
+    TooSlow,
+}
+
+/// What a run has shown.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    pub seed: u64,
+    pub seconds: f64,
+    pub verdict: Verdict,
+    pub findings: Vec<Finding>,
+    pub counts: Counts,
+    pub took_place: BTreeMap<Trouble, u64>,
+    pub slow: u64,
+    pub lag_s: f64,
+}
+
+struct Run {
+    truth: Shared,
+    clock: Clock,
+    times: Times,
+    nodes: Vec<Controller>,
+    /// Controllers that are stopped or dead until then.
+    paused: BTreeMap<usize, f64>,
+    dead: BTreeMap<usize, f64>,
+    tasks: JoinSet<()>,
+    users: Users,
+    slow: u64,
+    next_job: f64,
+    job_number: u64,
+    machines: usize,
+}
+
+async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// Addresses of a controller for users and for peers: a loopback address of its own, so that runs at the same
+/// time never meet.
+fn node_addresses(seed: u64, node: usize) -> (SocketAddr, SocketAddr) {
+    let process = (std::process::id() % 200) as u8 + 10;
+    let [run, ..] = seed.to_le_bytes();
+    let ip = [127, process, run, node as u8 + 1];
+    (SocketAddr::from((ip, 8080)), SocketAddr::from((ip, 8081)))
+}
+
+/// Plays one seed.
+pub async fn play(
+    options: &Options,
+    program: &Path,
+    folder: &Path,
+    seed: u64,
+) -> io::Result<Outcome> {
+    let nodes = options.nodes as usize;
+    let plan = schedule(seed, nodes, options.duration, options.scale);
+    let mut run = Run::begin(options, program, folder, seed).await?;
+    for planned in plan {
+        run.until(planned.at).await?;
+        run.begin_trouble(planned)?;
+    }
+    run.until(options.duration).await?;
+    run.calm_down().await?;
+    Ok(run.finish(seed))
+}
+
+impl Run {
+    async fn begin(options: &Options, program: &Path, folder: &Path, seed: u64) -> io::Result<Run> {
+        let clock = Clock::new(options.scale);
+        let count = options.nodes as usize;
+        let machines = options.machines as usize;
+        let team_cpus = (machines as f64 * CPUS * TEAM_SHARE).round();
+        let truth: Shared = Arc::new(Mutex::new(Truth::new(seed, clock, team_cpus)));
+        let times = Times::new(options.scale);
+        let mut tasks = JoinSet::new();
+        let state = StateService::new(truth.clone(), clock);
+        tasks.spawn(state.clone().expire_holds());
+        let (cloud_listener, cloud_address) = listen().await?;
+        let mut users_at = Vec::new();
+        let mut peers_at = Vec::new();
+        for node in 0..count {
+            let (users, peers) = node_addresses(seed, node);
+            users_at.push(users);
+            peers_at.push(peers);
+        }
+        // Zones times ordinary and spot: four pools.
+        let cloud = Cloud::new(truth.clone(), users_at.clone(), machines.div_ceil(4));
+        tasks.spawn(serve(cloud_listener, move |request| {
+            cloud.clone().handle(request)
+        }));
+        let mut nodes = Vec::new();
+        for node in 0..count {
+            let (listener, state_address) = listen().await?;
+            let service = state.clone();
+            tasks.spawn(serve(listener, move |request| {
+                service.clone().handle(node, request)
+            }));
+            let mut seeds = Vec::new();
+            for to in (0..count).filter(|to| *to != node) {
+                let (listener, address) = listen().await?;
+                let proxy = Proxy {
+                    truth: truth.clone(),
+                    clock,
+                    from: node,
+                    to,
+                    address: peers_at[to],
+                };
+                tasks.spawn(proxy.run(listener));
+                seeds.push((to, address));
+            }
+            let addresses = Addresses {
+                users: users_at[node],
+                peers: peers_at[node],
+                seeds,
+                state: state_address,
+                cloud: cloud_address,
+            };
+            let mut controller =
+                Controller::new(node, program, folder, &addresses, &times, team_cpus)?;
+            controller.start()?;
+            nodes.push(controller);
+        }
+        let users = Users {
+            truth: truth.clone(),
+            clock,
+            nodes: users_at,
+        };
+        tasks.spawn(users.clone().ask_for_nothing());
+        Ok(Run {
+            truth,
+            clock,
+            times,
+            nodes,
+            paused: BTreeMap::new(),
+            dead: BTreeMap::new(),
+            tasks,
+            users,
+            slow: 0,
+            next_job: 0.0,
+            job_number: 0,
+            machines,
+        })
+    }
+
+    /// Goes on until a time of the run.
+    async fn until(&mut self, at: f64) -> io::Result<()> {
+        while self.clock.now() < at {
+            self.beat().await?;
+        }
+        Ok(())
+    }
+
+    /// One beat: rules are checked, processes are watched, jobs come.
+    async fn beat(&mut self) -> io::Result<()> {
+        let before = self.clock.now();
+        self.clock.sleep(BEAT_S).await;
+        let now = self.clock.now();
+        let lag_s = now - before - BEAT_S;
+        self.slow += u64::from(lag_s > SLOW * self.times.report_s);
+        {
+            let truth = &mut *lock(&self.truth);
+            truth.lag_s = (truth.lag_s * 0.9).max(lag_s);
+            truth.faults.expire(now);
+            truth.check_cancelled();
+        }
+        self.watch_processes(now)?;
+        self.submit(now);
+        Ok(())
+    }
+
+    fn watch_processes(&mut self, now: f64) -> io::Result<()> {
+        let due = |until: &BTreeMap<usize, f64>| -> Vec<usize> {
+            let over = until.iter().filter(|(_, at)| now >= **at);
+            over.map(|(node, _)| *node).collect()
+        };
+        for node in due(&self.paused) {
+            self.paused.remove(&node);
+            self.nodes[node].resume();
+        }
+        for node in due(&self.dead) {
+            self.dead.remove(&node);
+            self.nodes[node].start()?;
+        }
+        for node in 0..self.nodes.len() {
+            if let Some(record) = self.nodes[node].ended() {
+                lock(&self.truth).break_rule(Rule::Controller, record);
+                self.nodes[node].start()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// New jobs, as long as open ones ask for less than the machines have.
+    fn submit(&mut self, now: f64) {
+        if now < self.next_job {
+            return;
+        }
+        let pause_s = self.clock.scaled(JOB_EVERY_S) / self.machines as f64;
+        self.next_job = now + pause_s;
+        let truth = &mut *lock(&self.truth);
+        if truth.calm_since.is_some() {
+            return;
+        }
+        let open = truth.jobs.values().filter(|job| !job.is_over());
+        let asked: f64 = open
+            .map(|job| f64::from(job.spec.tasks) * job.spec.cpus)
+            .sum();
+        if asked > LOAD * CPUS * self.machines as f64 {
+            return;
+        }
+        self.job_number += 1;
+        let (spec, cancel) = draw_job(self.job_number, &self.clock, &mut truth.chance);
+        self.tasks.spawn(self.users.clone().follow(spec, cancel));
+    }
+
+    fn begin_trouble(&mut self, planned: Planned) -> io::Result<()> {
+        let now = self.clock.now();
+        let truth = &mut *lock(&self.truth);
+        let node = match planned.target {
+            Target::Leader => truth.leader,
+            Target::Node(node) => node,
+        };
+        let machines = match planned.trouble {
+            Trouble::DeafMachines
+            | Trouble::MuteMachines
+            | Trouble::HangMachines
+            | Trouble::CutMachines => draw_machines(truth, planned.share, |_| true),
+            Trouble::TakeSpot => draw_machines(truth, planned.share / 2.0, |spot| spot),
+            _ => BTreeSet::new(),
+        };
+        let until = now + planned.for_s;
+        let running = !self.paused.contains_key(&node) && !self.dead.contains_key(&node);
+        match planned.trouble {
+            Trouble::KillNode | Trouble::PauseNode if !running => return Ok(()),
+            Trouble::KillNode => {
+                truth.faults.note(planned.trouble);
+                self.nodes[node].kill();
+                self.dead.insert(node, until);
+            }
+            Trouble::PauseNode => {
+                truth.faults.note(planned.trouble);
+                self.nodes[node].pause();
+                self.paused.insert(node, until);
+            }
+            Trouble::TakeSpot => self.take_spot(truth, &machines, now),
+            Trouble::CancelStorm => storm(truth, planned.share),
+            _ => truth.faults.begin(planned, node, machines, now),
+        }
+        Ok(())
+    }
+
+    /// Half of them get a notice.
+    fn take_spot(&self, truth: &mut Truth, machines: &BTreeSet<String>, now: f64) {
+        let notice_s = self.clock.scaled(20.0);
+        for (place, name) in machines.iter().enumerate() {
+            truth.faults.note(Trouble::TakeSpot);
+            if place % 2 == 0 {
+                truth.remove_machine(name);
+                continue;
+            }
+            truth.warn(name, now + notice_s);
+            let (shared, clock, name) = (self.truth.clone(), self.clock, name.clone());
+            tokio::spawn(async move {
+                clock.sleep(notice_s).await;
+                lock(&shared).remove_machine(&name);
+            });
+        }
+    }
+
+    /// All troubles end; then everything must come to its end.
+    async fn calm_down(&mut self) -> io::Result<()> {
+        for node in 0..self.nodes.len() {
+            self.nodes[node].resume();
+            self.nodes[node].start()?;
+        }
+        self.paused.clear();
+        self.dead.clear();
+        let calm = self.clock.now();
+        {
+            let truth = &mut *lock(&self.truth);
+            truth.faults.end_all();
+            truth.calm_since = Some(calm);
+        }
+        let mut waits_since: BTreeMap<String, f64> = BTreeMap::new();
+        let end = calm + self.clock.scaled(CALM_S);
+        let least = calm + self.clock.scaled(FORGOTTEN_S);
+        while self.clock.now() < end {
+            self.beat().await?;
+            let now = self.clock.now();
+            let truth = &mut *lock(&self.truth);
+            check_forgotten(truth, calm, now);
+            check_waiting(truth, &mut waits_since, now);
+            let unfinished = truth
+                .jobs
+                .values()
+                .any(|job| job.accepted.is_some() && !job.is_over());
+            if !unfinished && now > least {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn finish(mut self, seed: u64) -> Outcome {
+        let mut fences = 0;
+        for node in &mut self.nodes {
+            node.kill();
+            fences += node.count_in_log("starts revoked");
+            for finding in node.log_findings() {
+                lock(&self.truth).break_rule(Rule::Controller, finding.line);
+            }
+        }
+        self.tasks.abort_all();
+        let truth = &mut *lock(&self.truth);
+        truth.counts.fences = fences;
+        if truth.counts.starts == 0 {
+            truth.break_rule(Rule::NothingRan, "no task was started".to_owned());
+        }
+        let verdict = if !truth.findings.is_empty() {
+            Verdict::Broken
+        } else if self.slow > MAX_SLOW {
+            Verdict::TooSlow
+        } else {
+            Verdict::Green
+        };
+        Outcome {
+            seed,
+            seconds: self.clock.now(),
+            verdict,
+            findings: std::mem::take(&mut truth.findings),
+            counts: truth.counts.clone(),
+            took_place: truth.faults.took_place.clone(),
+            slow: self.slow,
+            lag_s: truth.lag_s,
+        }
+    }
+}
+
+fn draw_machines(truth: &mut Truth, share: f64, fits: impl Fn(bool) -> bool) -> BTreeSet<String> {
+    let there: Vec<String> = truth
+        .machines
+        .values()
+        .filter(|machine| machine.up.is_some() && machine.gone.is_none() && fits(machine.spot))
+        .map(|machine| machine.name.clone())
+        .collect();
+    let count = (there.len() as f64 * share).ceil() as usize;
+    let drawn = there.choose_multiple(&mut truth.chance, count);
+    drawn.cloned().collect()
+}
+
+/// Users of a share of the open jobs cancel with their next request, which comes soon.
+fn storm(truth: &mut Truth, share: f64) {
+    let now = truth.clock.now();
+    let Truth {
+        jobs,
+        chance,
+        faults,
+        ..
+    } = truth;
+    for job in jobs
+        .values_mut()
+        .filter(|job| job.accepted.is_some() && !job.is_over())
+    {
+        if chance.random::<f64>() < share / 2.0 {
+            job.asked_cancel.get_or_insert(now);
+            faults.note(Trouble::CancelStorm);
+        }
+    }
+}
+
+/// Jobs about which no question has been answered for long after all troubles.
+fn check_forgotten(truth: &mut Truth, calm: f64, now: f64) {
+    let limit_s = truth.clock.scaled(FORGOTTEN_S) + truth.lag_s;
+    let mut forgotten = Vec::new();
+    for job in truth.jobs.values_mut() {
+        let since = job.answered.max(calm);
+        if job.accepted.is_some() && !job.reported && now - since > limit_s {
+            job.reported = true;
+            forgotten.push(format!(
+                "{}: no answer since {:.3}",
+                job.spec.id, job.answered
+            ));
+        }
+    }
+    for record in forgotten {
+        truth.break_rule(Rule::Forgotten, record);
+    }
+}
+
+/// Tasks that wait although some machine that fits has room and their team is under its limit.
+fn check_waiting(truth: &mut Truth, since: &mut BTreeMap<String, f64>, now: f64) {
+    let limit_s = truth.clock.scaled(WAITS_S) + truth.lag_s;
+    let team_use = truth.team_use();
+    let mut waiting = Vec::new();
+    for job in truth.jobs.values() {
+        let there = truth
+            .machines
+            .values()
+            .flat_map(|machine| &machine.steps)
+            .filter(|step| step.is_on() && step.name.split('/').next() == Some(&job.spec.id))
+            .count() as u32;
+        let missing = job.spec.tasks > there + job.done.len() as u32;
+        let under = job.spec.team != TEAM || team_use + job.spec.cpus <= truth.team_cpus;
+        let wanted = job.accepted.is_some() && !job.is_over() && job.asked_cancel.is_none();
+        // Zones of jobs with such a rule depend on their other tasks: they are not looked at.
+        let simple = !job.spec.one_zone && !job.spec.spread;
+        let room = truth.machines.values().any(|machine| {
+            let cpus = |step: &str| truth.jobs[step.split('/').next().unwrap_or("")].spec.cpus;
+            machine.up.is_some()
+                && machine.gone.is_none()
+                && (job.spec.spot || !machine.spot)
+                && job.spec.zone.is_none_or(|zone| zone == machine.zone)
+                && machine.used(cpus) + job.spec.cpus <= CPUS
+        });
+        if wanted && missing && under && simple && room {
+            waiting.push(job.spec.id.clone());
+        }
+    }
+    since.retain(|id, _| waiting.contains(id));
+    for id in waiting {
+        let from = *since.entry(id.clone()).or_insert(now);
+        if now - from > limit_s {
+            since.insert(id.clone(), f64::INFINITY);
+            let record = format!("{id} has waited since {from:.3}");
+            truth.break_rule(Rule::WaitsBesideRoom, record);
+        }
+    }
+}
