--- a/src/coordination/controller.rs
+++ b/src/coordination/controller.rs
@@ -1,9 +1,12 @@
 //! One node: takes requests, answers and the passing of time, and says what is to be done.
 
+use super::catalogue::Catalogue;
 use super::election::{Election, Outcome, Times};
 use super::frontend::Frontend;
 use super::leader::{Leader, Notice, ReportAnswer, STATE_SHARE};
 use super::outbox::{Action, CloudAsk, Outbox, StoreAsk, Tag};
+use super::peers::Peers;
+use super::routes::Route;
 use super::terminations::TerminationQueue;
 use super::watch::{Watch, WatchUpdate};
 use crate::bookkeeping::budget;
@@ -13,17 +16,17 @@
 use crate::bookkeeping::quotas::Quotas;
 use crate::bookkeeping::records::{self, LeaderRecord};
 use crate::policy::Policy;
-use crate::protocol::cloud::{CloudCall, CloudReply, Flavor};
+use crate::protocol::cloud::{CloudReply, Flavor};
 use crate::protocol::job::{self, JobSpec};
 use crate::protocol::peer::Heartbeat;
-use crate::protocol::state::{StoreCall, StoreReply, Txn, Write};
+use crate::protocol::state::StoreReply;
 use crate::protocol::token::{ImpossibleToken, MAX_EPOCH};
 use crate::protocol::worker::{Redirect, Report, WorkerReply};
 use crate::protocol::{cbor, state};
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// The times of an input.
@@ -35,11 +38,6 @@
     pub wall: f64,
 }
 
-struct Peer {
-    heartbeat: Heartbeat,
-    at: f64,
-}
-
 /// A node.
 pub struct Controller {
     settings: Rc<Settings>,
@@ -50,12 +48,9 @@
     leader_watch: Watch,
     election: Election,
     leader: Option<Leader>,
-    flavors: Option<Rc<Vec<Flavor>>>,
-    stored_flavors: Option<Rc<Vec<Flavor>>>,
-    flavors_at: f64,
-    catalogue_read: bool,
+    catalogue: Catalogue,
     quotas: Quotas,
-    peers: BTreeMap<String, Peer>,
+    peers: Peers,
     ends: TerminationQueue,
     /// Workers that knocked here while another node leads, and when.
     redirected: BTreeMap<String, f64>,
@@ -104,12 +99,9 @@
             ),
             election: Election::new(&settings.label, seed, times),
             leader: None,
-            flavors: None,
-            stored_flavors: None,
-            flavors_at: 0.0,
-            catalogue_read: false,
+            catalogue: Catalogue::new(workers),
             quotas: Quotas::new(&settings.deployment.teams),
-            peers: BTreeMap::new(),
+            peers: Peers::default(),
             ends: TerminationQueue::new(
                 &settings.label,
                 seed,
@@ -138,12 +130,6 @@
         self.leader.is_some()
     }
 
-    /// The peers that were heard within so long.
-    fn heard_peers(&self, within_s: f64, now: f64) -> impl Iterator<Item = &Peer> {
-        let peers = self.peers.values();
-        peers.filter(move |peer| now - peer.at < within_s)
-    }
-
     fn report_s(&self) -> f64 {
         self.settings.deployment.workers.report_s
     }
@@ -152,34 +138,15 @@
 
     /// Takes a request.
     pub fn request(&mut self, to: u64, method: &str, path: &str, body: &[u8], now: Now) {
-        let mut parts = path.trim_start_matches('/').split('/');
-        let parts = (parts.next(), parts.next(), parts.next(), parts.next());
-        let wanted = match parts {
-            (Some("healthz"), None, ..) => "GET",
-            (Some("v1"), Some("report"), None, _) => "POST",
-            (Some("work"), None, ..) => "POST",
-            (Some("work"), Some(id), None, _) if !id.is_empty() => "GET",
-            (Some("work"), Some(id), Some("cancel"), None) if !id.is_empty() => "POST",
-            _ => {
-                self.out.refuse(to, 404, "no such path", None);
-                return;
-            }
-        };
-        if method != wanted {
-            self.out.refuse(to, 405, "wrong method", None);
-            return;
-        }
-        match parts {
-            (Some("healthz"), ..) => self.health(to, now.steady),
-            (Some("v1"), ..) => self.report(to, body, now.steady),
-            (_, None, ..) => self.submit(to, body, now),
-            (_, Some(id), None, _) if job::valid_id(id) => {
-                self.frontend.poll(to, id, &mut self.out, now.steady);
-            }
-            (_, Some(id), Some(_), _) if job::valid_id(id) => {
-                self.frontend.cancel(to, id, &mut self.out, now.steady);
-            }
-            _ => self.out.refuse(to, 404, "no such job", None),
+        match Route::parse(method, path) {
+            Ok(Route::Health) => self.health(to, now.steady),
+            Ok(Route::Report) => self.report(to, body, now.steady),
+            Ok(Route::Submit) => self.submit(to, body, now),
+            Ok(Route::Poll(id)) => self.frontend.poll(to, id, &mut self.out, now.steady),
+            Ok(Route::Cancel(id)) => self.frontend.cancel(to, id, &mut self.out, now.steady),
+            Err(error) => self
+                .out
+                .refuse(to, error.status(), &error.to_string(), None),
         }
     }
 
@@ -192,7 +159,7 @@
                 return;
             }
         };
-        let Some(flavors) = self.flavors.clone() else {
+        let Some(flavors) = self.catalogue.flavors().cloned() else {
             self.out
                 .refuse(to, 503, "the machine types are not known yet", Some(1));
             return;
@@ -229,10 +196,8 @@
         let own = self.state_ok_at.is_some_and(|at| now - at < window_s);
         // A node that the state service refuses says so only while a peer is served: removals
         // back off for long, and during an outage all nodes are equally good.
-        let better = self
-            .heard_peers(window_s, now)
-            .any(|peer| peer.heartbeat.state_ok);
-        if self.flavors.is_some() && self.jobs_watch.listed() && (own || !better) {
+        let better = self.peers.any_served(window_s, now);
+        if self.catalogue.flavors().is_some() && self.jobs_watch.listed() && (own || !better) {
             self.out.answer(to, 200, &"ok");
         } else {
             self.out.refuse(to, 503, "not ready", Some(1));
@@ -284,16 +249,11 @@
     /// The node to which workers are sent: the leader, unless that is this node or it is not
     /// certain that it still leads.
     fn foreman(&self, now: f64) -> Option<String> {
-        let fresh = self
-            .heard_peers(self.report_s(), now)
-            .filter(|peer| peer.heartbeat.epoch > 0)
-            .max_by_key(|peer| peer.heartbeat.epoch);
-        let known = match fresh {
-            Some(peer) if peer.heartbeat.epoch >= self.election.highest() => {
-                peer.heartbeat.leader.clone()
-            }
-            _ => self.election.leader().map(str::to_owned),
+        let known = match self.peers.latest_leader(self.report_s(), now) {
+            Some((epoch, leader)) if epoch >= self.election.highest() => leader,
+            _ => self.election.leader(),
         };
+        let known = known.map(str::to_owned);
         known.filter(|label| *label != self.settings.label)
     }
 
@@ -355,16 +315,9 @@
                 }
             }
             StoreAsk::Catalogue => {
-                if let StoreReply::Found(item) = &reply
-                    && let Ok(flavors) = cbor::from_value::<Vec<Flavor>>(&item.value)
-                {
-                    let flavors = Rc::new(flavors);
-                    self.stored_flavors = Some(flavors.clone());
-                    if self.flavors.is_none() {
-                        self.set_flavors(flavors);
-                    }
+                if self.catalogue.loaded(&reply) {
+                    self.flavors_changed();
                 }
-                self.catalogue_read |= matches!(reply, StoreReply::Found(_) | StoreReply::Missing);
             }
             StoreAsk::Ignored => {}
         }
@@ -397,13 +350,11 @@
         };
         let t = now.steady;
         match ask {
-            CloudAsk::Types => match reply {
-                CloudReply::Types(flavors) => {
-                    self.flavors_at = t + 2.0 * self.settings.deployment.workers.lease_s;
-                    self.set_flavors(Rc::new(flavors));
+            CloudAsk::Types => {
+                if self.catalogue.told(reply, t) {
+                    self.flavors_changed();
                 }
-                _ => self.flavors_at = t + self.report_s(),
-            },
+            }
             CloudAsk::List(epoch) => {
                 if let Some(leader) = self.leader_of(epoch) {
                     leader.listed(reply, t);
@@ -463,16 +414,13 @@
             Some(_) => {}
             None => self.frontend.note_counts(&heartbeat.counts),
         }
-        let label = heartbeat.label.clone();
-        let at = now.steady;
-        self.peers.insert(label, Peer { heartbeat, at });
+        self.peers.take(heartbeat, now.steady);
     }
 
-    fn set_flavors(&mut self, flavors: Rc<Vec<Flavor>>) {
-        if let Some(leader) = &mut self.leader {
+    fn flavors_changed(&mut self) {
+        if let (Some(leader), Some(flavors)) = (&mut self.leader, self.catalogue.flavors()) {
             leader.set_flavors(flavors.clone());
         }
-        self.flavors = Some(flavors);
     }
 
     fn apply_job_update(&mut self, news: WatchUpdate, now: Now) {
@@ -565,7 +513,7 @@
             Outcome::Same => {}
             Outcome::Won(epoch) => {
                 tracing::info!(epoch, "this node leads");
-                let flavors = self.flavors.clone().unwrap_or_default();
+                let flavors = self.catalogue.flavors().cloned().unwrap_or_default();
                 let mut leader = Leader::new(
                     epoch,
                     self.settings.clone(),
@@ -575,7 +523,8 @@
                     SmallRng::from_rng(&mut self.rng),
                     now,
                 );
-                leader.inherit_suspects(self.known_suspects(now));
+                let told_s = self.settings.deployment.workers.cancel_s;
+                leader.inherit_suspects(self.peers.suspects(told_s, now));
                 self.leader = Some(leader);
                 self.heartbeat_at = now;
             }
@@ -587,14 +536,6 @@
         }
     }
 
-    /// Jobs that leaders before this one have lately told to be suspect.
-    fn known_suspects(&self, now: f64) -> BTreeSet<String> {
-        let window_s = self.settings.deployment.workers.cancel_s;
-        self.heard_peers(window_s, now)
-            .flat_map(|peer| peer.heartbeat.suspects.iter().cloned())
-            .collect()
-    }
-
     /// Does all that is due.
     pub fn tick(&mut self, now: Now) {
         let t = now.steady;
@@ -605,7 +546,8 @@
             .election
             .drive(watching, self.jobs_watch.current_at(), &mut self.out, t);
         self.follow_outcome(outcome, t);
-        self.drive_catalogue(t);
+        let leads = self.leader.is_some();
+        self.catalogue.drive(leads, &mut self.out, t);
         self.frontend.drive(&mut self.out, t);
         self.drive_heartbeats(t);
         self.yield_if_unreachable(t);
@@ -634,34 +576,6 @@
         }
     }
 
-    fn drive_catalogue(&mut self, now: f64) {
-        if now < self.flavors_at {
-            return;
-        }
-        self.flavors_at = now + self.settings.deployment.workers.lease_s;
-        let within_s = self.report_s() * 2.0;
-        self.out.cloud(CloudAsk::Types, CloudCall::Types, within_s);
-        if !self.catalogue_read {
-            // Kept there by a leader for nodes that start while the cloud is out.
-            let call = StoreCall::Get(records::CATALOGUE.to_owned());
-            self.out.store(StoreAsk::Catalogue, call, within_s, now);
-        } else if self.leader.is_some()
-            && let Some(flavors) = &self.flavors
-            && self
-                .stored_flavors
-                .as_ref()
-                .is_none_or(|stored| !same_types(stored, flavors))
-        {
-            let txn = Txn {
-                when: Vec::new(),
-                writes: vec![Write::set(records::CATALOGUE, flavors.as_ref())],
-            };
-            self.stored_flavors = Some(flavors.clone());
-            self.out
-                .store(StoreAsk::Ignored, StoreCall::Txn(txn), within_s, now);
-        }
-    }
-
     fn drive_heartbeats(&mut self, now: f64) {
         if now < self.heartbeat_at {
             return;
@@ -706,9 +620,8 @@
             .seeds
             .iter()
             .map(|seed| {
-                let peer = self.peers.get(&seed.label);
-                peer.filter(|peer| now - peer.at < window_s)
-                    .map(|peer| peer.heartbeat.changes_per_s)
+                let peers = &self.peers;
+                peers.changes_per_s(&seed.label, window_s, now)
             })
             .collect();
         let budget = self.settings.deployment.state.write_rps * (1.0 - STATE_SHARE);
@@ -728,10 +641,8 @@
             return;
         }
         let fresh = self.report_s() * 2.0;
-        let alone = self.heard_peers(fresh, now).next().is_none();
-        let knocked = self
-            .heard_peers(fresh, now)
-            .any(|peer| peer.heartbeat.redirected > 0);
+        let alone = self.peers.are_silent(fresh, now);
+        let knocked = self.peers.any_redirected(fresh, now);
         if knocked || (alone && silent_s > self.settings.deployment.workers.lease_s / 2.0) {
             tracing::info!("workers can't reach this node: giving up the lead");
             let outcome = self.election.give_up(&mut self.out, now);
@@ -766,17 +677,3 @@
 fn read_leader(value: &ciborium::Value) -> Option<LeaderRecord> {
     cbor::from_value(value).ok()
 }
-
-/// Whether two catalogues differ in their prices at most.
-fn same_types(a: &[Flavor], b: &[Flavor]) -> bool {
-    let plain = |flavors: &[Flavor]| {
-        flavors
-            .iter()
-            .map(|flavor| Flavor {
-                market_price: flavor.market_price.map(|_| 0.0),
-                ..flavor.clone()
-            })
-            .collect::<Vec<_>>()
-    };
-    plain(a) == plain(b)
-}
--- /dev/null
+++ b/src/coordination/frontend/finals.rs
@@ -0,0 +1,61 @@
+//! How jobs have ended, as this node has learnt. An end is for ever.
+
+use crate::bookkeeping::records::{Ending, OverRecord};
+use crate::protocol::peer::{MAX_TERMINATIONS, Termination};
+use std::collections::{HashMap, VecDeque};
+
+/// Final states kept in memory; others are looked up again.
+const MAX_FINALS: usize = 20_000;
+
+/// Final states, the latest ones.
+#[derive(Debug, Default)]
+pub(super) struct Finals {
+    records: HashMap<String, OverRecord>,
+    order: VecDeque<String>,
+    /// Jobs that have ended by this node's doing, for its next word to the peers.
+    news: Vec<Termination>,
+    /// Jobs learnt to be over, for this node's leader.
+    learnt: Vec<String>,
+}
+
+impl Finals {
+    /// How a job has ended, if that is known.
+    pub(super) fn get(&self, id: &str) -> Option<OverRecord> {
+        self.records.get(id).copied()
+    }
+
+    /// Notes how a job has ended.
+    pub(super) fn note(&mut self, id: &str, record: OverRecord) {
+        if self.records.insert(id.to_owned(), record).is_some() {
+            return;
+        }
+        self.learnt.push(id.to_owned());
+        self.order.push_back(id.to_owned());
+        if self.order.len() > MAX_FINALS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.records.remove(&oldest);
+        }
+    }
+
+    /// Notes for the peers that a job has ended by this node's doing.
+    pub(super) fn announce(&mut self, id: &str, record: OverRecord) {
+        if self.news.len() < MAX_TERMINATIONS {
+            self.news.push(Termination {
+                job: id.to_owned(),
+                aborted: record.ending == Ending::Aborted,
+                done: record.done,
+            });
+        }
+    }
+
+    /// Jobs that have been learnt to be over since the last time.
+    pub(super) fn take_learnt(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.learnt)
+    }
+
+    /// What the peers have not been told yet.
+    pub(super) fn take_news(&mut self) -> Vec<Termination> {
+        std::mem::take(&mut self.news)
+    }
+}
--- a/src/coordination/frontend.rs
+++ b/src/coordination/frontend/mod.rs
@@ -4,47 +4,25 @@
 //! state service, many at a time: open jobs never change their key, so a comparison of versions
 //! shows that they are still open. So no node can give an older answer than another has given.
 
+mod calls;
+mod finals;
+mod request;
+
 use super::outbox::{Outbox, StoreAsk};
 use crate::bookkeeping::budget::Bucket;
 use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::records::{self, Ending, OverRecord};
 use crate::protocol::cbor;
 use crate::protocol::job::{JobSpec, JobStatus, JobView};
-use crate::protocol::peer::{Counts, MAX_TERMINATIONS, Termination};
+use crate::protocol::peer::{Counts, Termination};
 use crate::protocol::state::{CONDITIONS_PER_OP, Condition, StoreCall, StoreReply, Txn, Write};
 use crate::settings::StateLimits;
+use calls::Calls;
+use finals::Finals;
+use request::{PendingRequest, RequestKind};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
-/// What a user wants.
-#[derive(Debug, Clone)]
-enum RequestKind {
-    Poll,
-    Submit(Rc<JobSpec>),
-    /// Submitted, but can never run: refused for this reason, unless it was accepted before.
-    Unsatisfiable(&'static str),
-    Cancel,
-}
-
-#[derive(Debug, Clone)]
-struct PendingRequest {
-    request: u64,
-    id: String,
-    kind: RequestKind,
-    until: f64,
-    /// The comparison on its way takes the job to be open.
-    compared_open: bool,
-}
-
-impl PendingRequest {
-    /// Whether a failed comparison may be about this job.
-    fn concerned(&self, failed: &[String]) -> bool {
-        failed.is_empty()
-            || failed.contains(&records::open(&self.id))
-            || failed.contains(&records::over(&self.id))
-    }
-}
-
 /// A look at the keys of one job, for those who ask.
 #[derive(Debug, Default)]
 struct Look {
@@ -64,39 +42,6 @@
     Over,
 }
 
-/// Transactions on their way, with those who wait for them.
-#[derive(Debug, Default)]
-struct Calls {
-    next: u64,
-    on_the_way: HashMap<u64, Vec<PendingRequest>>,
-    latest: f64,
-}
-
-/// Transactions of one kind on their way at a time.
-const MAX_CALLS: usize = 6;
-/// Share of the patience after which the next transaction no longer waits for the one before, which
-/// a slow state service takes long to answer.
-const SLOW: f64 = 1.0 / 50.0;
-
-impl Calls {
-    /// Usually one at a time, so that many go into it.
-    fn may_call(&self, patience_s: f64, now: f64) -> bool {
-        let count = self.on_the_way.len();
-        count == 0 || (count < MAX_CALLS && now - self.latest > SLOW * patience_s)
-    }
-
-    fn add(&mut self, waiting: Vec<PendingRequest>, now: f64) -> u64 {
-        self.next += 1;
-        self.latest = now;
-        self.on_the_way.insert(self.next, waiting);
-        self.next
-    }
-
-    fn end(&mut self, call: u64) -> Vec<PendingRequest> {
-        self.on_the_way.remove(&call).unwrap_or_default()
-    }
-}
-
 /// What is known of a job's key.
 #[derive(Debug, Clone)]
 enum KeyState {
@@ -108,9 +53,7 @@
 /// Open jobs with their versions.
 pub type OpenJobs = BTreeMap<String, (u64, Rc<JobSpec>)>;
 
-/// Final states kept in memory.
-const FINALS: usize = 20_000;
-/// Tickets that may wait; more are refused at once.
+/// Requests that may wait; more are refused at once.
 const MAX_WAITING: usize = 2_000;
 /// Share of a node's requests for comparisons, which answer many polls each; the rest is for looks.
 const CHECK_SHARE: f64 = 0.5;
@@ -124,12 +67,7 @@
 pub struct Frontend {
     /// Open jobs, as the watch shows them; perhaps late.
     pub open: OpenJobs,
-    finals: HashMap<String, OverRecord>,
-    finals_order: VecDeque<String>,
-    /// Jobs that have ended by this node's doing, for its next word to the peers.
-    news: Vec<Termination>,
-    /// Jobs learnt to be over, for this node's leader.
-    over: Vec<String>,
+    finals: Finals,
     /// Display counts, from the leader.
     pub counts: HashMap<String, (u32, u32)>,
     polls: VecDeque<PendingRequest>,
@@ -161,10 +99,7 @@
         let rate = |all: f64| Bucket::new(all * share, burst_of(all * share));
         Frontend {
             open: BTreeMap::new(),
-            finals: HashMap::new(),
-            finals_order: VecDeque::new(),
-            news: Vec::new(),
-            over: Vec::new(),
+            finals: Finals::default(),
             counts: HashMap::new(),
             polls: VecDeque::new(),
             writes: VecDeque::new(),
@@ -186,7 +121,7 @@
 
     /// Notes an open job.
     pub fn note_open(&mut self, stamp: u64, spec: JobSpec) {
-        if !self.finals.contains_key(&spec.id) {
+        if self.finals.get(&spec.id).is_none() {
             self.open.insert(spec.id.clone(), (stamp, Rc::new(spec)));
         }
     }
@@ -204,37 +139,23 @@
     pub fn note_over(&mut self, id: &str, record: OverRecord) {
         self.open.remove(id);
         self.counts.remove(id);
-        if self.finals.insert(id.to_owned(), record).is_none() {
-            self.over.push(id.to_owned());
-            self.finals_order.push_back(id.to_owned());
-            if self.finals_order.len() > FINALS
-                && let Some(oldest) = self.finals_order.pop_front()
-            {
-                self.finals.remove(&oldest);
-            }
-        }
+        self.finals.note(id, record);
     }
 
     /// Notes how a job ended by this node's doing, which is written down.
     pub fn announce_over(&mut self, id: &str, record: OverRecord) {
-        if self.news.len() < MAX_TERMINATIONS {
-            self.news.push(Termination {
-                job: id.to_owned(),
-                aborted: record.ending == Ending::Aborted,
-                done: record.done,
-            });
-        }
+        self.finals.announce(id, record);
         self.note_over(id, record);
     }
 
     /// Jobs that have been learnt to be over since the last time.
     pub fn take_over(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.over)
+        self.finals.take_learnt()
     }
 
     /// What the peers have not been told yet.
     pub fn take_news(&mut self) -> Vec<Termination> {
-        std::mem::take(&mut self.news)
+        self.finals.take_news()
     }
 
     /// Takes a peer's word of jobs that have ended; ends are for ever.
@@ -271,7 +192,7 @@
 
     /// A user polls.
     pub fn poll(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
-        if let Some(record) = self.finals.get(id).copied() {
+        if let Some(record) = self.finals.get(id) {
             self.answer_over(request, id, &RequestKind::Poll, record, out);
             return;
         }
@@ -292,7 +213,7 @@
             Some(why) => RequestKind::Unsatisfiable(why),
             None => RequestKind::Submit(Rc::new(spec)),
         };
-        if let Some(record) = self.finals.get(&id).copied() {
+        if let Some(record) = self.finals.get(&id) {
             self.answer_over(request, &id, &kind, record, out);
             return;
         }
@@ -301,7 +222,7 @@
 
     /// A user cancels.
     pub fn cancel(&mut self, request: u64, id: &str, out: &mut Outbox, now: f64) {
-        if let Some(record) = self.finals.get(id).copied() {
+        if let Some(record) = self.finals.get(id) {
             self.answer_over(request, id, &RequestKind::Cancel, record, out);
             return;
         }
@@ -531,7 +452,7 @@
     /// Answers a poll by a comparison that held. What has become known since then is newer and
     /// goes first; a job that was open and has been closed since is looked up, never denied.
     fn answer_poll(&mut self, pending: PendingRequest, out: &mut Outbox) {
-        if let Some(record) = self.finals.get(&pending.id).copied() {
+        if let Some(record) = self.finals.get(&pending.id) {
             self.answer_over(pending.request, &pending.id, &pending.kind, record, out);
         } else if self.open.contains_key(&pending.id) {
             out.answer(pending.request, 200, &self.open_view(&pending.id));
