Log: why machines are given back, what is sent to the cloud, when a leader learns of a job's end; soak: prompt cancellations

The soak gets a trouble: small jobs that are cancelled within a report interval while starts are held.

--- a/src/bookkeeping/permits.rs
+++ b/src/bookkeeping/permits.rs
@@ -169,6 +169,16 @@
     Ok(())
 }
 
+/// Whether the cloud may be asked to delete a machine: its mark is written, so every later leader deletes it
+/// too, however late the request is carried out.
+pub fn delete(host: &Host) -> Result<(), Denial> {
+    if host.marked {
+        Ok(())
+    } else {
+        Err(Denial::NotWritten)
+    }
+}
+
 /// How often actions were allowed and denied, and why.
 #[derive(Debug, Default)]
 pub struct Tally {
--- a/src/coordination/leader/failure_detection.rs
+++ b/src/coordination/leader/failure_detection.rs
@@ -1,6 +1,7 @@
 //! Machines that are of no use: silent, faulty, taken, or never up; and zones that are cut off.
 
 use super::Leader;
+use super::fleet::GiveBackReason;
 use crate::bookkeeping::hosts::Host;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -138,31 +139,30 @@
                 && now - host.since > BOOT_PATIENCE * ready_s
                 && (!host.listed_up || now - self.since > lease_s);
             let reason = if taken {
-                "taken by the cloud"
+                GiveBackReason::TakenByCloud
             } else if never_up {
-                "never came up"
+                GiveBackReason::NeverUp
             } else if self.silent(host, now) && !cut_off && !waits(host) {
-                "silent"
+                GiveBackReason::Silent
             } else if host.unreached.is_some_and(|at| now - at > lease_s)
                 && !cut_off
                 && !waits(host)
             {
-                "can't be reached"
+                GiveBackReason::Unreached
             } else if host.failures.is_faulty() {
-                "fails tasks"
+                GiveBackReason::FailsTasks
             } else if host.heard.is_none()
                 && host.listed.is_some_and(|at| now - at > lost_s)
                 && host.bindings.is_empty()
             {
-                "no longer listed"
+                GiveBackReason::NotListed
             } else {
                 continue;
             };
             back.push((host.name.clone(), reason));
         }
         for (name, reason) in back {
-            tracing::info!(host = name, reason, "giving back a machine");
-            self.give_back(&name);
+            self.give_back(&name, reason);
         }
     }
 }
--- a/src/coordination/leader/fleet.rs
+++ b/src/coordination/leader/fleet.rs
@@ -4,6 +4,7 @@
 use crate::bookkeeping::budget::Bucket;
 use crate::bookkeeping::hosts::Host;
 use crate::bookkeeping::ledger::Change;
+use crate::bookkeeping::permits;
 use crate::bookkeeping::records::{self, RentalRecord};
 use crate::coordination::autoscaler::{self, Meter};
 use crate::coordination::outbox::{CloudAsk, Outbox};
@@ -15,6 +16,29 @@
 use crate::settings::Settings;
 use std::collections::{BTreeMap, HashMap};
 
+/// Why a machine is given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GiveBackReason {
+    /// The cloud takes it.
+    TakenByCloud,
+    /// It has not come up in time.
+    NeverUp,
+    /// It has missed its reports, and left direct calls unanswered.
+    Silent,
+    /// Its reports arrive, but no answer or command reaches it.
+    Unreached,
+    /// Tasks of several jobs fail on it that succeed elsewhere.
+    FailsTasks,
+    /// The cloud lists it no longer.
+    NotListed,
+    /// The cloud lists it as failed.
+    Failed,
+    /// Nothing is bound to it, and it is not needed.
+    Idle,
+    /// Its fence can't be raised any further.
+    FenceUsedUp,
+}
+
 /// A pool of machines: type, zone, and whether spot.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PoolKey {
@@ -338,7 +362,7 @@
         let names: Vec<String> = self
             .hosts
             .iter()
-            .filter(|host| host.marked && !self.fleet.is_gone(&host.name))
+            .filter(|host| permits::delete(host).is_ok() && !self.fleet.is_gone(&host.name))
             .map(|host| host.name.clone())
             .take(MAX_DELETE)
             .collect();
@@ -346,6 +370,7 @@
             return;
         }
         self.fleet.delete_busy = true;
+        tracing::debug!(hosts = ?names, "deletion sent");
         let ask = CloudAsk::Delete(self.epoch, names.clone());
         out.cloud(ask, CloudCall::Delete(names), 2.0 * self.fleet.report_s);
     }
@@ -373,6 +398,7 @@
         if !fleet.calls.take(1.0, now) {
             return;
         }
+        tracing::debug!(bid, pool = %rental.pool(), again = rental.sent, "rental sent");
         rental.stage = Stage::Calling;
         rental.sent = true;
         fleet.rent_busy = true;
@@ -437,8 +463,7 @@
                 self.push_due.insert(machine.name.clone());
             }
             MachineStatus::Failed if !host.returning => {
-                tracing::info!(host = machine.name, "machine has failed");
-                self.give_back(&machine.name);
+                self.give_back(&machine.name, GiveBackReason::Failed);
             }
             _ => {}
         }
@@ -529,10 +554,11 @@
     }
 
     /// Marks a host as returning; it is deleted once the mark is written.
-    pub(super) fn give_back(&mut self, name: &str) {
+    pub(super) fn give_back(&mut self, name: &str, reason: GiveBackReason) {
         if let Some(host) = self.hosts.get_mut(name)
             && !host.returning
         {
+            tracing::info!(host = name, ?reason, "giving back a machine");
             host.returning = true;
             self.ledger.push(Change::Mark {
                 host: name.to_owned(),
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -251,6 +251,12 @@
             self.closed_early.insert(id.to_owned());
         }
         if let Some(job) = self.jobs.remove(id) {
+            tracing::debug!(
+                job = id,
+                bound = job.bound.len(),
+                copies_on = job.copies_on.len(),
+                "job over: its tasks are stopped"
+            );
             self.ledger.job_over(id);
             self.halt_orphans_of(&job);
             self.revoke_copies_of(&job);
--- a/src/coordination/leader/orders.rs
+++ b/src/coordination/leader/orders.rs
@@ -2,6 +2,7 @@
 //! that is due, and what must hold is checked.
 
 use super::Leader;
+use super::fleet::GiveBackReason;
 use crate::bookkeeping::hosts::{Host, Way};
 use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::jobs::Jobs;
@@ -31,8 +32,7 @@
         }
         self.tally.count_revocation(reason);
         if !host.revoke_starts(reason) {
-            tracing::warn!(host = name, "fence can't be raised: giving back a machine");
-            self.give_back(name);
+            self.give_back(name, GiveBackReason::FenceUsedUp);
         }
     }
 
--- a/src/coordination/leader/scaling.rs
+++ b/src/coordination/leader/scaling.rs
@@ -1,7 +1,7 @@
 //! How many machines each pool should have: the demand of what waits, the room for replicas to come,
 //! and the autoscaler's decision.
 
-use super::fleet::{self, PoolKey, is_in};
+use super::fleet::{self, GiveBackReason, PoolKey, is_in};
 use super::{EXPECT_MARGIN, Leader};
 use crate::bookkeeping::hosts::{Host, Room};
 use crate::coordination::autoscaler::{self, Load};
@@ -99,7 +99,7 @@
             back.extend(self.scale_pool(offer, &demand[i], &stock, &figures[i], now));
         }
         for name in back {
-            self.give_back(&name);
+            self.give_back(&name, GiveBackReason::Idle);
         }
         self.pack_zones(&offers, &figures, now);
     }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -46,11 +46,13 @@
     TakeSpot,
     /// Users cancel many jobs at once.
     CancelStorm,
+    /// Many small jobs come, and are cancelled within a report interval: before most workers have reported.
+    PromptCancels,
     /// The cloud refuses all, or carries requests out late.
     DisturbCloud,
 }
 
-const ALL: [Trouble; 20] = [
+const ALL: [Trouble; 21] = [
     Trouble::KillNode,
     Trouble::PauseNode,
     Trouble::RefuseNode,
@@ -70,6 +72,7 @@
     Trouble::CutFromWorkers,
     Trouble::TakeSpot,
     Trouble::CancelStorm,
+    Trouble::PromptCancels,
     Trouble::DisturbCloud,
 ];
 
@@ -144,8 +147,13 @@
         share: 0.8,
         ..held
     };
+    let prompt = Planned {
+        trouble: Trouble::PromptCancels,
+        ..held
+    };
     vec![
         held,
+        prompt,
         storm(times.report_s),
         storm(times.report_s * 3.0),
         storm(times.lease_s),
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -10,7 +10,7 @@
 use super::proxy::Proxy;
 use super::state::StateService;
 use super::truth::{Counts, Finding, Rule, Shared, TEAM, Truth, lock};
-use super::users::{Users, draw_job};
+use super::users::{Users, draw_job, draw_prompt_job};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +33,8 @@
 const TEAM_SHARE: f64 = 0.4;
 /// Seconds of the protocol between two new jobs, for each machine.
 const JOB_EVERY_S: f64 = 24.0;
+/// How many small jobs that are cancelled promptly come in place of one other job.
+const PROMPT_JOBS: f64 = 4.0;
 /// Delays of the stand-ins, as a share of a report interval, from which a moment counts as slow.
 const SLOW: f64 = 0.3;
 /// Seconds between two looks at the stand-ins' own delays.
@@ -246,11 +248,20 @@
             return;
         }
         let pause_s = self.clock.scaled(JOB_EVERY_S) / self.machines as f64;
-        self.next_job = now + pause_s;
         let truth = &mut *lock(&self.truth);
         if truth.calm_since.is_some() {
             return;
         }
+        if truth.faults.any(Trouble::PromptCancels) {
+            truth.faults.note(Trouble::PromptCancels);
+            self.next_job = now + pause_s / PROMPT_JOBS;
+            self.job_number += 1;
+            let report_s = self.times.report_s;
+            let (spec, cancel) = draw_prompt_job(self.job_number, report_s, &mut truth.chance);
+            self.tasks.spawn(self.users.clone().follow(spec, cancel));
+            return;
+        }
+        self.next_job = now + pause_s;
         let open = truth.jobs.values().filter(|job| !job.is_over());
         let asked: f64 = open
             .map(|job| f64::from(job.spec.tasks) * job.spec.cpus)
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -35,6 +35,24 @@
     Cancel,
 }
 
+/// A small job that is cancelled within a report interval.
+pub fn draw_prompt_job(number: u64, report_s: f64, chance: &mut SmallRng) -> (Spec, Option<f64>) {
+    let spec = Spec {
+        id: format!("j-{number:06}"),
+        tasks: 1,
+        standing: chance.random_bool(0.5),
+        cpus: 1.0,
+        team: FREE_TEAM,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        run_s: 20.0 * report_s,
+        image: "img-0".to_owned(),
+    };
+    (spec, Some(report_s * chance.random_range(0.05..0.8)))
+}
+
 /// A new job, with the time after which it is cancelled.
 pub fn draw_job(number: u64, clock: &Clock, chance: &mut SmallRng) -> (Spec, Option<f64>) {
     let standing = chance.random_bool(SERVICES);
