Direct calls: what a worker is called for in functions of its own; fewer pending starts kept

At most 32 starts are pending for a worker before a fence is raised for them (256 would be 150 MB of entries at 4,000 machines, by their size).

--- a/src/bookkeeping/pending_starts.rs
+++ b/src/bookkeeping/pending_starts.rs
@@ -11,7 +11,8 @@
 use std::collections::BTreeMap;
 
 /// Starts of tasks that are long done are kept until the next fence; beyond so many one is raised for them.
-const MAX_PENDING: usize = 256;
+/// Thousands of workers may have as many.
+const MAX_PENDING: usize = 32;
 
 /// What became of a direct call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/coordination/leader/direct.rs
+++ b/src/coordination/leader/direct.rs
@@ -12,98 +12,124 @@
 /// quarter more at most.
 const PROBE_AFTER: f64 = 1.3;
 
+/// A direct call that a worker needs.
+struct WantedCall {
+    host: String,
+    orders: Vec<Order>,
+    /// Starts that may still arrive are to be revoked, which can't wait.
+    revokes: bool,
+    /// The worker may well not answer.
+    doubtful: bool,
+    /// When it was last called.
+    last_at: f64,
+}
+
 impl Leader {
     /// Sends direct commands where the workers don't yet do what is wanted, and this leader's Epoch
     /// where it is not known yet. Calls at a time are bounded, and workers that may not answer get a
     /// part of them only: a zone that is cut off must not keep commands from the others.
     pub(super) fn drive_pushes(&mut self, knowledge: &Knowledge, out: &mut Outbox, now: f64) {
-        let may_start = knowledge.may_start().is_ok();
-        let report_s = self.settings.deployment.workers.report_s;
         let limit = self.settings.deployment.quota.direct_sockets();
-        let missed = |host: &Host| {
-            host.unreached.is_some()
-                || host
-                    .heard
-                    .is_some_and(|at| now - at > PROBE_AFTER * report_s)
-        };
-        for host in self.hosts.iter().filter(|host| missed(host)) {
-            self.push_due.insert(host.name.clone());
-        }
+        self.note_missed(now);
         let due: Vec<String> = self.push_due.iter().cloned().collect();
-        let mut doubtful: Vec<(f64, String, Vec<Order>)> = Vec::new();
+        let mut doubtful: Vec<WantedCall> = Vec::new();
         for name in due {
             if self.pushing.contains_key(&name) {
                 continue;
             }
-            let Some(host) = self.hosts.get_mut(&name) else {
+            let Some(call) = self.wanted_call(&name, knowledge, now) else {
                 self.push_due.remove(&name);
                 continue;
             };
-            let orders = if host.acked {
-                host.orders(may_start, MAX_ORDERS)
-            } else {
-                Vec::new()
-            };
-            let revoke = host.acked && host.revocation().is_some_and(|reason| reason.is_urgent());
-            // A worker that has missed its latest report is asked directly, before it is thought
-            // silent: it may only be on its way from a node that does not answer it.
-            let probe = host.acked && !host.marked && missed(host);
-            let up = host.heard.is_some() || host.listed_up || !host.bindings.is_empty();
-            // Clears can wait for the next report.
-            let pressing = orders.iter().any(|order| order.verb != Verb::Clear);
-            let revokes = revoke || (host.acked && host.waits_for_fence());
-            let wanted = pressing || revokes || probe || (!host.acked && !host.marked && up);
-            if !wanted || host.endpoint.is_empty() {
-                self.push_due.remove(&name);
-                continue;
-            }
             // What has just been sent is not repeated before its answer could show.
-            let last = self.pushed_at.get(&name);
-            let repeats =
-                |(sent, at): &(Vec<Order>, f64)| *sent == orders && now - at < report_s / 2.0;
-            if !revoke && last.is_some_and(repeats) {
+            if !call.revokes && self.was_just_sent(&call, now) {
                 continue;
             }
-            if !host.acked || missed(host) {
-                let at = last.map_or(f64::NEG_INFINITY, |(_, at)| *at);
-                doubtful.push((at, name, orders));
+            if call.doubtful {
+                doubtful.push(call);
             } else if self.pushing.len() < limit {
-                self.push(&name, orders, false, knowledge, out, now);
+                self.push(call, knowledge, out, now);
             }
         }
         let probing = self.pushing.values().filter(|doubtful| **doubtful).count();
         let free = (limit / 2).saturating_sub(probing);
         // Those not asked for longest go first.
-        doubtful.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, name, orders) in doubtful.into_iter().take(free) {
-            self.push(&name, orders, true, knowledge, out, now);
+        doubtful.sort_by(|a, b| a.last_at.total_cmp(&b.last_at));
+        for call in doubtful.into_iter().take(free) {
+            self.push(call, knowledge, out, now);
+        }
+    }
+
+    /// Whether a worker has missed its latest report, or could not be reached.
+    fn has_missed(&self, host: &Host, now: f64) -> bool {
+        let report_s = self.settings.deployment.workers.report_s;
+        let late = |at| now - at > PROBE_AFTER * report_s;
+        host.unreached.is_some() || host.heard.is_some_and(late)
+    }
+
+    /// Workers that have missed their latest report are asked directly.
+    fn note_missed(&mut self, now: f64) {
+        let missed = self.hosts.iter().filter(|host| self.has_missed(host, now));
+        let names: Vec<String> = missed.map(|host| host.name.clone()).collect();
+        self.push_due.extend(names);
+    }
+
+    /// What a worker is to be called for, if it is.
+    fn wanted_call(&self, name: &str, knowledge: &Knowledge, now: f64) -> Option<WantedCall> {
+        let host = self.hosts.get(name)?;
+        let missed = self.has_missed(host, now);
+        let may_start = knowledge.may_start().is_ok();
+        let orders = match host.acked {
+            true => host.orders(may_start, MAX_ORDERS),
+            false => Vec::new(),
+        };
+        let revocation = host.revocation().filter(|_| host.acked);
+        let revokes = revocation.is_some_and(|reason| reason.is_urgent());
+        let waits = host.acked && host.waits_for_fence();
+        // It is asked before it is thought silent: a report may only be on its way from a node that does
+        // not answer it.
+        let probe = host.acked && !host.marked && missed;
+        let up = host.heard.is_some() || host.listed_up || !host.bindings.is_empty();
+        let greet = !host.acked && !host.marked && up;
+        // Clears can wait for the next report.
+        let pressing = orders.iter().any(|order| order.verb != Verb::Clear);
+        let wanted = pressing || revokes || waits || probe || greet;
+        if !wanted || host.endpoint.is_empty() {
+            return None;
         }
+        let last = self.pushed_at.get(name);
+        Some(WantedCall {
+            host: name.to_owned(),
+            orders,
+            revokes,
+            doubtful: !host.acked || missed,
+            last_at: last.map_or(f64::NEG_INFINITY, |(_, at)| *at),
+        })
     }
 
-    fn push(
-        &mut self,
-        name: &str,
-        orders: Vec<Order>,
-        doubtful: bool,
-        knowledge: &Knowledge,
-        out: &mut Outbox,
-        now: f64,
-    ) {
-        let Some(host) = self.hosts.get(name) else {
+    fn was_just_sent(&self, call: &WantedCall, now: f64) -> bool {
+        let half_s = self.settings.deployment.workers.report_s / 2.0;
+        let last = self.pushed_at.get(&call.host);
+        last.is_some_and(|(sent, at)| *sent == call.orders && now - at < half_s)
+    }
+
+    fn push(&mut self, call: WantedCall, knowledge: &Knowledge, out: &mut Outbox, now: f64) {
+        let name = call.host;
+        let Some(host) = self.hosts.get(&name) else {
             return;
         };
         let endpoint = host.endpoint.clone();
         if host.acked {
-            self.revoke_where_due(name);
+            self.revoke_where_due(&name);
         }
-        let commands = self.send_off(name, orders, Way::Direct, knowledge);
-        self.push_due.remove(name);
-        self.pushing.insert(name.to_owned(), doubtful);
+        let commands = self.send_off(&name, call.orders, Way::Direct, knowledge);
+        self.push_due.remove(&name);
+        self.pushing.insert(name.clone(), call.doubtful);
         self.pushed_at
-            .insert(name.to_owned(), (commands.orders.clone(), now));
+            .insert(name.clone(), (commands.orders.clone(), now));
         let ask = WorkerAsk {
             epoch: self.epoch,
-            host: name.to_owned(),
+            host: name,
             orders: commands.orders.clone(),
         };
         let within_s = self.settings.deployment.workers.report_s / 2.0;
