--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -28,8 +28,12 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 
+/// For how long the end of a soak may take.
+const SHUTDOWN: Duration = Duration::from_secs(2);
 /// Threads of the stand-ins.
 const THREADS: usize = 3;
 
@@ -40,6 +44,8 @@
     Options(#[from] OptionsError),
     #[error("the soak can't run: {0}; look for free ports, memory and disk space")]
     Io(#[from] io::Error),
+    #[error("the soak was stopped by a signal; its controllers are ended, nothing is judged")]
+    Stopped,
 }
 
 /// Runs what the options ask for and prints it. Returns the worst verdict.
@@ -64,13 +70,31 @@
         .worker_threads(THREADS)
         .enable_all()
         .build()?;
-    let outcomes = runtime.block_on(all(options, &program, &seeds))?;
-    runtime.shutdown_background();
+    let outcomes = runtime.block_on(async {
+        tokio::select! {
+            outcomes = all(options, &program, &seeds) => outcomes.map_err(SoakError::from),
+            stopped = stop_signal() => Err(stopped.err().map_or(SoakError::Stopped, SoakError::from)),
+        }
+    });
+    // Runs that are dropped end their controllers.
+    runtime.shutdown_timeout(SHUTDOWN);
+    let outcomes = outcomes?;
     report::print_summary(&outcomes);
     let verdicts = outcomes.iter().map(|outcome| outcome.verdict);
     Ok(report::worst(verdicts))
 }
 
+/// Waits until somebody stops the soak.
+async fn stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
 async fn all(options: &Options, program: &Path, seeds: &[u64]) -> io::Result<Vec<Outcome>> {
     let at_once = Arc::new(Semaphore::new(options.jobs as usize));
     let mut runs = Vec::new();
