Soak: the meeting of a refused leader, cancellations and an outage; a user whose last try is accepted goes on

Traced: the users' stand-in gave up after its submission had been accepted (the controllers' logs show it accepted, and done later). Mended in the stand-in.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -102,6 +102,8 @@
 const WARM_UP_S: f64 = 60.0;
 /// Seconds of the protocol between two moments at which troubles begin.
 const PAUSE_S: (f64, f64) = (15.0, 55.0);
+/// Share of the moments that have a meeting of troubles of their own, beside what chance draws.
+const MEETINGS: f64 = 0.08;
 /// Troubles that begin at a moment.
 const AT_ONCE: (usize, usize) = (1, 3);
 
@@ -114,14 +116,14 @@
     while at < duration {
         if plan.is_empty() {
             plan = starts_held_past_cancellations(at, &times, &mut chance);
+        } else if chance.random_bool(MEETINGS) {
+            plan.extend(refused_alone_then_outage(at, &times));
         }
-        let wanted: Vec<Trouble> = {
-            let count = chance.random_range(AT_ONCE.0..=AT_ONCE.1);
-            ALL.choose_multiple(&mut chance, count).copied().collect()
-        };
-        for trouble in wanted {
+        let count = chance.random_range(AT_ONCE.0..=AT_ONCE.1);
+        let drawn: Vec<&Trouble> = ALL.choose_multiple(&mut chance, count).collect();
+        for trouble in drawn {
             let delay = chance.random::<f64>() * 3.0 * scale;
-            plan.push(planned(trouble, at + delay, nodes, &times, &mut chance));
+            plan.push(planned(*trouble, at + delay, nodes, &times, &mut chance));
         }
         at += scale * chance.random_range(PAUSE_S.0..PAUSE_S.1);
     }
@@ -160,6 +162,36 @@
     ]
 }
 
+/// The state service refuses the leader alone, users cancel in that moment, and then it is out for longer than
+/// cancelled tasks may last. The leader's peers don't reach it either: nobody can tell it.
+fn refused_alone_then_outage(at: f64, times: &Times) -> Vec<Planned> {
+    let refused = Planned {
+        trouble: Trouble::RefuseNode,
+        at,
+        for_s: times.report_s,
+        target: Target::Leader,
+        share: 0.8,
+        late_s: 0.0,
+    };
+    let storm = Planned {
+        trouble: Trouble::CancelStorm,
+        at: at + times.change_s / 5.0,
+        ..refused
+    };
+    let outage = Planned {
+        trouble: Trouble::StateOutage,
+        at: at + times.report_s,
+        for_s: 1.3 * times.cancel_s,
+        ..refused
+    };
+    let cut = Planned {
+        trouble: Trouble::CutPeers,
+        for_s: refused.for_s + outage.for_s,
+        ..refused
+    };
+    vec![refused, cut, storm, outage]
+}
+
 fn planned(
     trouble: Trouble,
     at: f64,
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -188,8 +188,9 @@
                 .filter(|at| !over && *at > now)
                 .map_or(next, |at| next.min(at));
             self.clock.sleep_until(next).await;
-            let given_up = accepted.is_none() && self.clock.now() - submitted > 12.0 * times.user_s;
-            if given_up {
+            // The submission may have been accepted just now.
+            let accepted = lock(&self.truth).jobs[&spec.id].accepted;
+            if accepted.is_none() && self.clock.now() - submitted > 12.0 * times.user_s {
                 return;
             }
         }
