--- a/tests/late_commands.rs
+++ b/tests/late_commands.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// A world in which starts begin to be held for the shorter time.
+fn with_held_starts(seed: u64, copies_only: bool) -> World {
+    let mut world = World::new(seed);
+    steady_work(&mut world);
+    world.run(BEGIN);
+    cancelled_jobs(&mut world, HELD_S[0], copies_only);
+    world
+}
+
 fn surviving_attempts(world: &World) -> (BTreeMap<String, u64>, BTreeMap<String, u64>) {
     (world.attempts_of(SERVICE), world.attempts_of(LONG_ARRAY))
 }
@@ -79,10 +88,7 @@
 fn starts_held_past_a_change_of_leader() {
     for seed in 1..5 {
         let name = format!("seed {seed}");
-        let mut world = World::new(seed);
-        steady_work(&mut world);
-        world.run(BEGIN);
-        cancelled_jobs(&mut world, HELD_S[0], false);
+        let mut world = with_held_starts(seed, false);
         world.run(BEGIN + 3.0);
         let reigns = world.reigns();
         assert!(world.restart_leader(LEASE_S), "{name}");
@@ -103,10 +109,7 @@
 fn copies_of_starts_past_the_cancellation() {
     for seed in 1..5 {
         let name = format!("seed {seed}");
-        let mut world = World::new(seed);
-        steady_work(&mut world);
-        world.run(BEGIN);
-        cancelled_jobs(&mut world, HELD_S[0], true);
+        let mut world = with_held_starts(seed, true);
         world.run(END);
         assert!(
             world.counts.starts_past_in_session > 0,
@@ -122,10 +125,7 @@
 fn starts_held_at_machines_that_can_not_be_told() {
     for seed in 1..5 {
         let name = format!("seed {seed}");
-        let mut world = World::new(seed);
-        steady_work(&mut world);
-        world.run(BEGIN);
-        cancelled_jobs(&mut world, HELD_S[0], false);
+        let mut world = with_held_starts(seed, false);
         world.run(BEGIN + 1.0);
         for nth in 0..3 {
             world.mute_machine(nth, LEASE_S + 4.0);
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use cedarladder::bookkeeping::invariants::{Invariant, uphold};
 use cedarladder::bookkeeping::permits::{Denial, Knowledge};
 use common::knowledge;
 
@@ -64,3 +65,15 @@
         assert_eq!(knowledge.may_renew().err(), renew, "{name}: renew");
     }
 }
+
+/// What holds may go on; a violation is refused, and ends builds with debug assertions, such as this one.
+#[test]
+#[cfg_attr(
+    debug_assertions,
+    should_panic(expected = "NoStartOfClosedJob: host h")
+)]
+fn violations() {
+    let invariant = Invariant::NoStartOfClosedJob;
+    assert!(uphold(invariant, true, format_args!("host h")));
+    assert!(!uphold(invariant, false, format_args!("host h")));
+}
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -2,13 +2,17 @@
 
 mod common;
 
+use cedarladder::bookkeeping::hosts::Room;
+use cedarladder::bookkeeping::segment::Builder;
 use cedarladder::coordination::leader::{Leader, ReportAnswer};
 use cedarladder::policy::Policy;
-use cedarladder::protocol::state::StoreReply;
+use cedarladder::protocol::cbor;
+use cedarladder::protocol::state::{Item, StoreReply};
 use cedarladder::protocol::token::Token;
 use cedarladder::protocol::worker::{Commands, Order, Report, StepReport, StepStatus, Verb};
 use cedarladder::settings::Settings;
-use common::{flavor, knowledge, knowledge_of_age};
+use ciborium::Value;
+use common::{flavor, host, knowledge, knowledge_of_age, spec};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::rc::Rc;
@@ -198,3 +202,37 @@
     };
     assert_eq!(got, answer(vec![halt]));
 }
+
+/// A segment of the log whose leader came after this one can't be; what it says of bindings is kept all the
+/// same, so that no task is stopped or started twice for it.
+#[test]
+fn segments_of_impossible_leaders() {
+    let page = |key: &str, value: Value| {
+        let item = Item {
+            key: key.to_owned(),
+            value,
+            stamp: 5,
+            hold: None,
+        };
+        StoreReply::Page(vec![item], false, 9)
+    };
+    let spec = spec("j-000001", 1);
+    let mut builder = Builder::new(EPOCH + 1, 1);
+    builder.kind(&host("h", "a", false), false);
+    builder.bind("h", ("j-000001", 0), ("t", Room::default()), (7, 1));
+    let segment = cbor::to_value(&builder.finish());
+    let mut leader = loading();
+    leader.loaded(page("open/j-000001", cbor::to_value(&spec)), 0.0, 0.0);
+    leader.loaded(page("log/0", segment), 0.0, 0.0);
+    leader.loaded(StoreReply::Page(Vec::new(), false, 9), 0.0, 0.0);
+    assert!(!leader.loading());
+    let mut report = report(1, 1, EPOCH);
+    report.steps = vec![StepReport {
+        step: "j-000001/0".into(),
+        attempt: 7,
+        status: StepStatus::Running,
+        cause: None,
+    }];
+    let got = leader.report(&report, &knowledge(), |_| true, 1.0);
+    assert_eq!(got, answer(Vec::new()), "its task goes on");
+}
