Log lines of jobs name the revision they were learnt at

Which controller knew of a job's end, and at which revision, could not be told from the log: 'job opened', 'open jobs listed', 'job deletion watched', 'commit applied' and 'termination received from a peer' are new at debug level; 'job accepted', 'job cancelled' and 'job ended: tasks evicted' name the mod revision.

--- a/src/coordination/controller/leader_key.rs
+++ b/src/coordination/controller/leader_key.rs
@@ -28,7 +28,7 @@
             Some(known) => election.observe_leader(Some(known), jitter, now),
             None => LeadershipChange::None,
         },
-        WatchUpdate::Deleted { key } if key == records::LEADER_KEY => {
+        WatchUpdate::Deleted { key, .. } if key == records::LEADER_KEY => {
             election.on_leader_deleted(jitter, now)
         }
         WatchUpdate::Put(_) | WatchUpdate::Deleted { .. } => LeadershipChange::None,
--- a/src/coordination/controller/open_jobs.rs
+++ b/src/coordination/controller/open_jobs.rs
@@ -26,8 +26,9 @@
                     self.opened(id, &item, now);
                 }
             }
-            WatchUpdate::Deleted { key } => {
+            WatchUpdate::Deleted { key, mod_revision } => {
                 if let Some(id) = key.strip_prefix(records::OPEN_PREFIX) {
+                    tracing::debug!(job = id, mod_revision, "job deletion watched");
                     self.closed(id);
                 }
             }
@@ -51,6 +52,12 @@
             .filter(|id| !listed.contains_key(*id))
             .map(str::to_owned)
             .collect();
+        tracing::debug!(
+            revision,
+            jobs = listed.len(),
+            closed = closed.len(),
+            "open jobs listed"
+        );
         for id in closed {
             self.closed(&id);
         }
--- a/src/coordination/job_api/mod.rs
+++ b/src/coordination/job_api/mod.rs
@@ -122,6 +122,14 @@
     /// Takes the terminations that a peer announces.
     pub fn on_peer_terminations(&mut self, terminations: &[Termination]) {
         for termination in terminations {
+            let is_known = self.terminal_states.get(&termination.job).is_some();
+            if !is_known {
+                tracing::debug!(
+                    job = termination.job,
+                    aborted = termination.aborted,
+                    "termination received from a peer"
+                );
+            }
             let outcome = if termination.aborted {
                 JobOutcome::Aborted
             } else {
@@ -324,7 +332,7 @@
         let id = &pending.job;
         let RequestKind::Submit(spec) = &pending.kind else {
             let record = writes::aborted_record(id, &self.open);
-            tracing::debug!(job = id, "job cancelled");
+            tracing::debug!(job = id, mod_revision, "job cancelled");
             self.announce_finished(id, record);
             self.respond_finished(pending.request_id, id, &pending.kind, record, effects);
             return None;
@@ -336,6 +344,7 @@
         self.open.insert(id, job.clone());
         tracing::debug!(
             job = id,
+            mod_revision,
             class = spec.class,
             tasks = spec.tasks,
             "job accepted"
--- a/src/coordination/leader/commit.rs
+++ b/src/coordination/leader/commit.rs
@@ -140,6 +140,7 @@
         self.in_flight = false;
         match response {
             KvResponse::Committed(mod_revision) => {
+                tracing::debug!(mod_revision, "commit applied");
                 CommitOutcome::Committed(self.log.complete_in_flight(mod_revision))
             }
             KvResponse::CompareFailed(failed) => self.on_compare_failed(failed, effects, now),
--- a/src/coordination/leader/jobs.rs
+++ b/src/coordination/leader/jobs.rs
@@ -27,6 +27,7 @@
             job.latest_unhurried_start =
                 deadline - RUNTIME_ESTIMATE_MARGIN * spec.expected_runtime_s;
         }
+        tracing::debug!(job = spec.id, mod_revision, "job opened");
         self.jobs.insert(job);
         self.scheduling.request();
     }
@@ -51,6 +52,7 @@
         if let Some(job) = self.jobs.remove(id) {
             tracing::debug!(
                 job = id,
+                mod_revision = job.mod_revision,
                 bound = job.bound_workers().len(),
                 copies_on = job.workers_with_start_copies.len(),
                 "job ended: tasks evicted"
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -19,6 +19,8 @@
     Deleted {
         /// The key.
         key: String,
+        /// Revision of the deletion.
+        mod_revision: u64,
     },
 }
 
@@ -153,7 +155,9 @@
                             mod_revision,
                             lease_id: None,
                         }),
-                        WatchEvent::Delete { key, .. } => WatchUpdate::Deleted { key },
+                        WatchEvent::Delete { key, mod_revision } => {
+                            WatchUpdate::Deleted { key, mod_revision }
+                        }
                     })
                     .collect()
             }
