What is known of a job never goes back

Callers saw: tasks of other teams stopped for an urgent job that had ended, instances rented for cancelled tasks, and a panic in builds with overflow checks.

Cause: the leader's tables took records of jobs that were older than the jobs' ends: a listing in pages that began before, or the late response to the controller's own submission. After recovery nothing remembered which jobs were closed.

Ids are used once, so an open record of a closed id is always older: the guard does not depend on the order of arrival. The count of running tasks is kept where the bindings are, and the invariant NoBindingUnknownToItsJob watches what a reopened job broke.

--- a/src/bookkeeping/invariants.rs
+++ b/src/bookkeeping/invariants.rs
@@ -20,6 +20,8 @@
     NoRenewalBeyondLeaseGrace,
     /// No binding is dropped while a start of it may still arrive.
     NoUnbindWhileStartMayArrive,
+    /// An open job knows of each binding of its tasks: its counts are those of the bindings.
+    NoBindingUnknownToItsJob,
 }
 
 static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
--- a/src/bookkeeping/jobs/job.rs
+++ b/src/bookkeeping/jobs/job.rs
@@ -5,11 +5,20 @@
 use crate::protocol::job::{JobKind, JobSpec};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// A worker that a task is bound to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BoundWorker {
+    /// Name of the worker.
+    pub name: String,
+    /// The task has been observed running there.
+    pub is_running: bool,
+}
+
 /// An open job. Times are seconds of the controller's steady clock.
 ///
 /// The sets and counts of completed, bound and running tasks must agree with each other; they are changed by
-/// [`complete`](Job::complete), [`bind`](Job::bind), [`unbind`](Job::unbind),
-/// [`add_running_task`](Job::add_running_task) and [`remove_running_task`](Job::remove_running_task).
+/// [`complete`](Job::complete), [`bind`](Job::bind), [`observe_running`](Job::observe_running) and
+/// [`unbind`](Job::unbind).
 #[derive(Debug, Clone)]
 pub struct Job {
     /// Specification, as submitted.
@@ -27,14 +36,14 @@
     /// Completed tasks, committed or about to be.
     completed: TaskSet,
     /// The workers that each bound task is bound to; after failures there may be several.
-    bound_workers: BTreeMap<u32, Vec<String>>,
+    bound_workers: BTreeMap<u32, Vec<BoundWorker>>,
     /// Workers where its tasks have completed while copies of their starts may still arrive.
     pub workers_with_start_copies: BTreeSet<String>,
     /// Number of bindings in each zone.
     bound_per_zone: HashMap<String, u32>,
     /// Number of bound tasks that are complete already.
     bound_completed: u32,
-    /// Number of bindings whose task has been observed running.
+    /// Number of workers in `bound_workers` that are marked as running.
     running_tasks: u32,
     /// The end of the job waits to be committed.
     pub finishing: bool,
@@ -128,7 +137,7 @@
     }
 
     /// The workers that each bound task is bound to, by the index of the task.
-    pub fn bound_workers(&self) -> &BTreeMap<u32, Vec<String>> {
+    pub fn bound_workers(&self) -> &BTreeMap<u32, Vec<BoundWorker>> {
         &self.bound_workers
     }
 
@@ -142,14 +151,17 @@
         self.running_tasks
     }
 
-    /// Records that the task of a binding has been observed running.
-    pub fn add_running_task(&mut self) {
-        self.running_tasks += 1;
-    }
-
-    /// Records that a binding has ended whose task had been observed running.
-    pub fn remove_running_task(&mut self) {
-        self.running_tasks -= 1;
+    /// Records that a bound task has been observed running.
+    pub fn observe_running(&mut self, index: u32, worker: &str) {
+        let workers = self.bound_workers.get_mut(&index);
+        let bound =
+            workers.and_then(|workers| workers.iter_mut().find(|bound| bound.name == worker));
+        if let Some(bound) = bound
+            && !bound.is_running
+        {
+            bound.is_running = true;
+            self.running_tasks += 1;
+        }
     }
 
     /// Whether any task has been placed or completed.
@@ -172,22 +184,30 @@
         if workers.is_empty() && self.completed.contains(index) {
             self.bound_completed += 1;
         }
-        if !workers.iter().any(|name| name == worker) {
-            workers.push(worker.to_owned());
+        if !workers.iter().any(|bound| bound.name == worker) {
+            workers.push(BoundWorker {
+                name: worker.to_owned(),
+                is_running: false,
+            });
             *self.bound_per_zone.entry(zone.to_owned()).or_default() += 1;
         }
     }
 
-    /// Records that a binding has ended.
-    pub fn unbind(&mut self, index: u32, worker: &str, zone: &str, now: f64) {
+    /// Records that a binding has ended. Returns false if the task is not bound to that worker, as far as
+    /// the job knows; nothing changes then.
+    pub fn unbind(&mut self, index: u32, worker: &str, zone: &str, now: f64) -> bool {
         let Some(workers) = self.bound_workers.get_mut(&index) else {
-            return;
+            return false;
         };
-        let before = workers.len();
-        workers.retain(|name| name != worker);
-        if workers.len() < before
-            && let Some(count) = self.bound_per_zone.get_mut(zone)
-        {
+        let Some(position) = workers.iter().position(|bound| bound.name == worker) else {
+            return false;
+        };
+        let bound = workers.remove(position);
+        if bound.is_running {
+            // Counted when the mark was set.
+            self.running_tasks -= 1;
+        }
+        if let Some(count) = self.bound_per_zone.get_mut(zone) {
             *count -= 1;
             if *count == 0 {
                 self.bound_per_zone.remove(zone);
@@ -201,5 +221,6 @@
                 self.waiting_since = now;
             }
         }
+        true
     }
 }
--- a/src/coordination/controller/leadership.rs
+++ b/src/coordination/controller/leadership.rs
@@ -71,6 +71,10 @@
                     self.job_api.announce_finished(&job, record);
                     LeadershipChange::None
                 }
+                LeaderEvent::JobClosed { job } => {
+                    self.job_api.on_job_closed(&job);
+                    LeadershipChange::None
+                }
                 LeaderEvent::HigherEpochSeen(epoch) => self.election.observe_epoch(epoch),
                 LeaderEvent::Deposed => self.election.on_deposed(),
             };
--- a/src/coordination/controller/open_jobs.rs
+++ b/src/coordination/controller/open_jobs.rs
@@ -29,7 +29,8 @@
             WatchUpdate::Deleted { key, mod_revision } => {
                 if let Some(id) = key.strip_prefix(records::OPEN_PREFIX) {
                     tracing::debug!(job = id, mod_revision, "job deletion watched");
-                    self.closed(id);
+                    self.job_api.on_job_closed_at(id, mod_revision);
+                    self.tell_leader_of_closed(id);
                 }
             }
         }
@@ -59,8 +60,11 @@
             "open jobs listed"
         );
         for id in closed {
-            self.closed(&id);
+            self.job_api.on_job_closed(&id);
+            self.tell_leader_of_closed(&id);
         }
+        self.job_api
+            .on_open_jobs_listed(|id| listed.contains_key(id));
         if let Some(leader) = &mut self.leader {
             leader.on_open_jobs_listed(revision, listed.keys().cloned().collect());
         }
@@ -77,14 +81,15 @@
                 return;
             }
         };
-        if let Some(leader) = &mut self.leader {
+        // The record may be older than the job's end: the job API knows of every end.
+        if self.job_api.on_job_opened(item.mod_revision, spec.clone())
+            && let Some(leader) = &mut self.leader
+        {
             leader.on_job_opened(item.mod_revision, &spec, now.monotonic, now.wall);
         }
-        self.job_api.on_job_opened(item.mod_revision, spec);
     }
 
-    fn closed(&mut self, id: &str) {
-        self.job_api.on_job_closed(id);
+    fn tell_leader_of_closed(&mut self, id: &str) {
         if let Some(leader) = &mut self.leader {
             leader.on_job_closed(id);
         }
--- a/src/coordination/job_api/lookups.rs
+++ b/src/coordination/job_api/lookups.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// Notes that the open jobs were listed: one that was read before and is not listed may be closed.
+    pub(super) fn on_open_jobs_listed(&mut self, is_listed: impl Fn(&str) -> bool) {
+        for (job, lookup) in &mut self.lookups {
+            lookup.closed_meanwhile |= !is_listed(job);
+        }
+    }
+
     /// Starts queued lookups, as far as the budget of requests allows.
     pub(super) fn send_due(
         &mut self,
--- a/src/coordination/job_api/mod.rs
+++ b/src/coordination/job_api/mod.rs
@@ -82,27 +82,40 @@
         &self.open
     }
 
-    /// Records an open job.
-    pub fn on_job_opened(&mut self, mod_revision: u64, spec: JobSpec) {
-        if self.terminal_states.get(&spec.id).is_none() {
-            let id = spec.id.clone();
-            let spec = Rc::new(spec);
-            self.open.insert(&id, OpenJob { mod_revision, spec });
-        }
+    /// Records an open job. Returns false if the record is older than what is known of the job: then it
+    /// is no news for the leader either.
+    pub fn on_job_opened(&mut self, mod_revision: u64, spec: JobSpec) -> bool {
+        let id = spec.id.clone();
+        let spec = Rc::new(spec);
+        self.open.insert(&id, OpenJob { mod_revision, spec })
     }
 
     /// Records that a job is no longer open; how it finished is looked up when a user asks.
     pub fn on_job_closed(&mut self, id: &str) {
-        self.open.remove(id);
-        self.lookups.on_job_closed(id);
+        self.close(id, None);
+    }
+
+    /// Records that a job's `open/` key was deleted at a revision.
+    pub fn on_job_closed_at(&mut self, id: &str, revision: u64) {
+        self.close(id, Some(revision));
+    }
+
+    /// The open jobs were listed: what a lookup in flight has read of one that is not listed may be older.
+    pub fn on_open_jobs_listed(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.lookups.on_open_jobs_listed(is_listed);
     }
 
     /// Records how a job finished.
     pub fn on_job_finished(&mut self, id: &str, record: FinishedRecord) {
-        self.open.remove(id);
+        self.close(id, None);
         self.terminal_states.insert(id, record);
     }
 
+    fn close(&mut self, id: &str, revision: Option<u64>) {
+        self.open.close(id, revision);
+        self.lookups.on_job_closed(id);
+    }
+
     /// Records how a job finished that this controller has finished or aborted in the state service.
     pub fn announce_finished(&mut self, id: &str, record: FinishedRecord) {
         self.terminal_states.announce(id, record);
@@ -333,6 +346,7 @@
         let RequestKind::Submit(spec) = &pending.kind else {
             let record = writes::aborted_record(id, &self.open);
             tracing::debug!(job = id, mod_revision, "job cancelled");
+            self.on_job_closed_at(id, mod_revision);
             self.announce_finished(id, record);
             self.respond_finished(pending.request_id, id, &pending.kind, record, effects);
             return None;
@@ -341,7 +355,7 @@
             mod_revision,
             spec: spec.clone(),
         };
-        self.open.insert(id, job.clone());
+        let is_open = self.open.insert(id, job.clone());
         tracing::debug!(
             job = id,
             mod_revision,
@@ -349,8 +363,14 @@
             tasks = spec.tasks,
             "job accepted"
         );
-        effects.respond_job_status(pending.request_id, 201, id, JobStatus::Queued);
-        Some(job)
+        match self.terminal_states.get(id) {
+            // The response was late: the job has been opened and has ended since.
+            Some(record) => {
+                self.respond_finished(pending.request_id, id, &pending.kind, record, effects);
+            }
+            None => effects.respond_job_status(pending.request_id, 201, id, JobStatus::Queued),
+        }
+        is_open.then_some(job)
     }
 
     /// Takes the response to a read of a lookup.
@@ -381,7 +401,9 @@
 
     fn record_lookup(&mut self, id: &str, state: &JobRecordState) {
         match state {
-            JobRecordState::Open(job) => self.open.insert(id, job.clone()),
+            JobRecordState::Open(job) => {
+                self.open.insert(id, job.clone());
+            }
             JobRecordState::Finished(record) => self.on_job_finished(id, *record),
             JobRecordState::NotFound => self.open.remove_unknown(id),
             JobRecordState::Undetermined => {}
--- a/src/coordination/job_api/open_jobs.rs
+++ b/src/coordination/job_api/open_jobs.rs
@@ -1,5 +1,6 @@
 //! The open jobs as this controller knows them, with the progress that the leader reports of them.
 
+use crate::bookkeeping::jobs::ClosedJobs;
 use crate::protocol::job::{JobSpec, JobStatus, JobView};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -23,10 +24,11 @@
 }
 
 /// Open jobs by id, as the watch, lookups and this controller's own writes have shown them. The view
-/// may be late.
+/// may be late, but it never goes back: what is older than what is known of a job changes nothing.
 #[derive(Debug, Default)]
 pub struct OpenJobs {
     jobs: BTreeMap<String, OpenJob>,
+    closed: ClosedJobs,
     progress: HashMap<String, JobProgress>,
 }
 
@@ -50,12 +52,25 @@
             .map(|(id, _)| id.as_str())
     }
 
-    pub(super) fn insert(&mut self, id: &str, job: OpenJob) {
+    /// Takes the record of an open job. Returns false if it is older than what is known of the job.
+    ///
+    /// Records come in any order: pages of a listing that began before a job's end, and responses to
+    /// submissions and lookups, may arrive after it.
+    pub(super) fn insert(&mut self, id: &str, job: OpenJob) -> bool {
+        if !self.closed.allow_open(id, job.mod_revision) {
+            return false;
+        }
+        let known = self.jobs.get(id);
+        if known.is_some_and(|known| known.mod_revision > job.mod_revision) {
+            return false;
+        }
         self.jobs.insert(id.to_owned(), job);
+        true
     }
 
-    /// Removes a job that is no longer open, with its progress.
-    pub(super) fn remove(&mut self, id: &str) {
+    /// Removes a job that is closed, at a revision if that is known, with its progress.
+    pub(super) fn close(&mut self, id: &str, revision: Option<u64>) {
+        self.closed.insert(id, revision);
         self.jobs.remove(id);
         self.progress.remove(id);
     }
--- a/src/coordination/leader/binding_reconciliation.rs
+++ b/src/coordination/leader/binding_reconciliation.rs
@@ -92,7 +92,7 @@
             binding.running_since = Some(now);
         }
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.add_running_task();
+            job.observe_running(task.index, name);
             worker.remember_image(&job.spec.image);
         }
     }
--- a/src/coordination/leader/bindings.rs
+++ b/src/coordination/leader/bindings.rs
@@ -2,6 +2,7 @@
 //! whose end is committed.
 
 use super::Leader;
+use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::workers::Binding;
 use crate::protocol::worker::TaskId;
 
@@ -62,10 +63,9 @@
                 worker.idle_since = now;
             }
             if let Some(job) = self.jobs.get_mut(&task.job) {
-                job.unbind(task.index, name, &worker.zone, now);
-                if binding.running_since.is_some() {
-                    job.remove_running_task();
-                }
+                let was_known = job.unbind(task.index, name, &worker.zone, now);
+                let details = format_args!("worker {name}, task {task}, attempt {attempt}");
+                let _ = invariants::uphold(Invariant::NoBindingUnknownToItsJob, was_known, details);
             }
             self.scheduling.request();
             self.dispatcher.mark_due(name);
--- a/src/coordination/leader/commit.rs
+++ b/src/coordination/leader/commit.rs
@@ -280,8 +280,9 @@
             }
             CommitOutcome::Deposed => self.emit(LeaderEvent::Deposed),
             CommitOutcome::JobsClosed(jobs) => {
-                for id in jobs {
-                    self.on_job_closed(&id);
+                for job in jobs {
+                    self.on_job_closed(&job);
+                    self.emit(LeaderEvent::JobClosed { job });
                 }
             }
             CommitOutcome::Pending => {}
--- a/src/coordination/leader/jobs.rs
+++ b/src/coordination/leader/jobs.rs
@@ -76,16 +76,16 @@
 
     /// Evicts a job's bound tasks after its end.
     pub(super) fn evict_tasks_of(&mut self, job: &Job) {
-        for (index, names) in job.bound_workers() {
+        for (index, workers) in job.bound_workers() {
             let task = TaskId {
                 job: job.spec.id.clone(),
                 index: *index,
             };
-            for name in names {
-                let worker = self.workers.get_mut(name);
+            for bound in workers {
+                let worker = self.workers.get_mut(&bound.name);
                 if let Some(binding) = worker.and_then(|worker| worker.bindings.get_mut(&task)) {
                     binding.eviction = Some(Eviction::JOB_ENDED);
-                    self.dispatcher.mark_due(name);
+                    self.dispatcher.mark_due(&bound.name);
                 }
             }
         }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -72,6 +72,11 @@
         /// How it has ended.
         record: FinishedRecord,
     },
+    /// A transaction has found a job to be closed by somebody else.
+    JobClosed {
+        /// The job.
+        job: String,
+    },
     /// Another leader's epoch was seen.
     HigherEpochSeen(u64),
     /// A transaction found the leader's key changed.
--- a/src/coordination/leader/recovery.rs
+++ b/src/coordination/leader/recovery.rs
@@ -3,6 +3,7 @@
 
 use super::Leader;
 use super::heartbeats::HeartbeatPath;
+use crate::bookkeeping::jobs::ClosedJobs;
 use crate::bookkeeping::records::{self, ProvisioningRecord};
 use crate::bookkeeping::wal::{Segment, decode_chunk};
 use crate::bookkeeping::workers::{Binding, Worker};
@@ -11,7 +12,7 @@
 use crate::protocol::job::JobSpec;
 use crate::protocol::kv::{KeyValue, KvRequest, KvResponse};
 use crate::protocol::worker::{TaskId, WorkerHeartbeat};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Workers whose heartbeats are kept during recovery.
 const MAX_BUFFERED_HEARTBEATS: usize = 4096;
@@ -30,7 +31,7 @@
     /// The latest heartbeat of each worker.
     buffered_heartbeats: BTreeMap<String, WorkerHeartbeat>,
     /// Jobs that were closed meanwhile; what was read may still show them as open.
-    closed_jobs: HashSet<String>,
+    closed_jobs: ClosedJobs,
     /// The latest listing of the open jobs.
     listing: Option<OpenJobsListing>,
     /// Jobs that were crash-looping under an earlier leader.
@@ -128,7 +129,7 @@
 
     /// A job was closed.
     pub(super) fn on_job_closed(&mut self, id: &str) {
-        self.closed_jobs.insert(id.to_owned());
+        self.closed_jobs.insert(id, None);
     }
 
     /// The open jobs were listed at a revision.
@@ -161,11 +162,9 @@
 
     fn decode_job(&self, item: &KeyValue) -> Option<RecoveredJob> {
         let spec = cbor::from_value::<JobSpec>(&item.value).ok()?;
-        let is_open = !self.closed_jobs.contains(&spec.id);
-        is_open.then_some(RecoveredJob {
-            mod_revision: item.mod_revision,
-            spec,
-        })
+        let mod_revision = item.mod_revision;
+        let is_news = self.closed_jobs.allow_open(&spec.id, mod_revision);
+        is_news.then_some(RecoveredJob { mod_revision, spec })
     }
 }
 
