A heartbeat with a lower token than before changes nothing

Cause: a late heartbeat of the machine's first life was newer by incarnation or sequence than all of its second, and its empty list of tasks ended the second's bindings.

A worker's token is the highest it has seen and never sinks, so a lower one tells that a restart lies between the two messages. Nothing is concluded from such a heartbeat, but that the answer may renew the lease from now.

--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -4,6 +4,7 @@
 use super::pending_starts::PendingStarts;
 use super::resources::Resources;
 use crate::bookkeeping::failure_attribution::WorkerFailures;
+use crate::protocol::token::FencingToken;
 use crate::protocol::worker::{TaskId, TaskState, TaskStatus, WorkerHeartbeat};
 use std::collections::BTreeMap;
 
@@ -33,6 +34,8 @@
     pub incarnation: u64,
     /// Sequence number of the latest heartbeat of that incarnation.
     pub sequence: u64,
+    /// Highest token that the worker has shown.
+    pub token: FencingToken,
     /// The worker has shown this leader's epoch.
     pub token_acknowledged: bool,
     /// Tasks in the latest heartbeat.
@@ -82,6 +85,7 @@
             termination_recorded: false,
             incarnation: 0,
             sequence: 0,
+            token: FencingToken::default(),
             token_acknowledged: false,
             observed_tasks: BTreeMap::new(),
             lease_renewed_at: now,
@@ -125,11 +129,17 @@
             && self.last_heartbeat_at.is_some()
     }
 
-    /// Whether a heartbeat is newer than all that were seen.
+    /// Whether a heartbeat is newer than all that were seen, by its numbers.
     pub fn is_newer(&self, heartbeat: &WorkerHeartbeat) -> bool {
         (heartbeat.incarnation, heartbeat.sequence) > (self.incarnation, self.sequence)
     }
 
+    /// Whether a heartbeat shows a lower token than an earlier one did. A worker's token never sinks, so
+    /// the machine has restarted and forgotten it in between, or this is from before such a restart.
+    pub fn shows_lower_token(&self, heartbeat: &WorkerHeartbeat) -> bool {
+        heartbeat.token < self.token
+    }
+
     /// The status of an attempt in the latest heartbeat, if it is there.
     pub fn observed_task(&self, task: &TaskId, attempt: u64) -> Option<&TaskStatus> {
         self.observed_tasks
--- a/src/coordination/leader/heartbeats.rs
+++ b/src/coordination/leader/heartbeats.rs
@@ -121,6 +121,10 @@
             renew_by_late_heartbeat(worker, path);
             return false;
         }
+        if worker.shows_lower_token(heartbeat) {
+            ignore_lower_token(worker, heartbeat, now);
+            return false;
+        }
         renew_lease(worker, path, now);
         let is_new_incarnation = heartbeat.incarnation > worker.incarnation;
         if is_new_incarnation {
@@ -184,6 +188,23 @@
     }
 }
 
+/// A machine that has restarted and forgotten its incarnations sent this, after the restart or before it: the
+/// numbers don't tell which. Its tasks are not those that are bound there now, or were not yet. Sent after it,
+/// the answer tells the worker the token, renews its lease from now at the latest, and the next heartbeat counts.
+fn ignore_lower_token(worker: &mut Worker, heartbeat: &WorkerHeartbeat, now: f64) {
+    tracing::warn!(
+        worker = worker.name,
+        incarnation = heartbeat.incarnation,
+        sequence = heartbeat.sequence,
+        token = %heartbeat.token,
+        known_incarnation = worker.incarnation,
+        known_sequence = worker.sequence,
+        known_token = %worker.token,
+        "worker heartbeat ignored: lower token than before"
+    );
+    worker.lease_renewed_at = worker.lease_renewed_at.max(now);
+}
+
 /// The answer to a worker's request renews its lease.
 fn renew_lease(worker: &mut Worker, path: HeartbeatPath, now: f64) {
     if path == HeartbeatPath::DirectAnswer {
@@ -224,6 +245,7 @@
     }
     worker.incarnation = heartbeat.incarnation;
     worker.sequence = heartbeat.sequence;
+    worker.token = heartbeat.token;
     worker.first_heartbeat_at.get_or_insert(now);
     worker.last_heartbeat_at = Some(now);
     worker.endpoint.clone_from(&heartbeat.endpoint);
--- a/tests/forgotten_incarnations.rs
+++ b/tests/forgotten_incarnations.rs
@@ -60,7 +60,8 @@
 
 #[test]
 fn a_heartbeat_with_a_lower_token_changes_nothing() {
-    let lower = FencingToken::new(1, 0);
+    // The leader's epoch here is 1, the lowest that there is.
+    let lower = FencingToken::default();
     // Each: by what the late heartbeat of the former life seems to be newer.
     type Case = (&'static str, fn(&Scene) -> (u64, u64));
     let cases: [Case; 3] = [
