The lease of a machine that restarted counts from when lost tasks show it

Cause: the leader counted the second life's lease from the last heartbeat that it had answered in the first, 0.6 s before the second began.

Within an incarnation only a clear removes a task, and none is sent while it is bound. A bound task that is no longer shown means a restart that lies before that message, so the lease runs from then at the latest: it is only ever prolonged.

The short case got a second job, since without a direct call the leader can't know and need not; it fails on the sources before.

--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -148,6 +148,20 @@
             .find(|task_status| task_status.attempt == attempt)
     }
 
+    /// Whether a bound task that the latest heartbeat shows is missing in the newer `tasks`. Within an
+    /// incarnation only a clear removes a task, and none is sent while the task is bound: the machine has
+    /// restarted and forgotten its incarnations.
+    pub fn has_lost_bound_task(&self, tasks: &BTreeMap<TaskId, Vec<TaskStatus>>) -> bool {
+        self.bindings.iter().any(|(task, binding)| {
+            let is_shown = |status: &TaskStatus| status.attempt == binding.attempt;
+            let was_shown = self.observed_task(task, binding.attempt).is_some();
+            was_shown
+                && !tasks
+                    .get(task)
+                    .is_some_and(|statuses| statuses.iter().any(is_shown))
+        })
+    }
+
     /// Whether the latest heartbeat shows an attempt as exited.
     pub fn has_exited(&self, task: &TaskId, attempt: u64) -> bool {
         self.observed_task(task, attempt)
--- a/src/coordination/leader/heartbeats.rs
+++ b/src/coordination/leader/heartbeats.rs
@@ -132,7 +132,11 @@
         } else if path == HeartbeatPath::Request {
             worker.pending_starts.settle_responses(heartbeat.sequence);
         }
-        record_heartbeat(worker, heartbeat, now);
+        let tasks = observed_tasks(heartbeat);
+        if !is_new_incarnation && worker.has_lost_bound_task(&tasks) {
+            restart_lease(worker, now);
+        }
+        record_heartbeat(worker, heartbeat, tasks, now);
         self.acknowledge_token(heartbeat, now);
         if is_new_incarnation {
             // A new incarnation has killed and forgotten all tasks of the earlier ones.
@@ -230,8 +234,24 @@
     worker.lease_renewed_at = worker.lease_renewed_at.max(now);
 }
 
-/// Takes over what a worker's newest heartbeat says.
-fn record_heartbeat(worker: &mut Worker, heartbeat: &WorkerHeartbeat, now: f64) {
+/// The machine has restarted, and its incarnation has begun once more: the lease runs from that beginning, which
+/// lies after the heartbeats that were answered before.
+fn restart_lease(worker: &mut Worker, now: f64) {
+    tracing::warn!(
+        worker = worker.name,
+        incarnation = worker.incarnation,
+        "worker has lost tasks within its incarnation: lease counted from now"
+    );
+    worker.lease_renewed_at = worker.lease_renewed_at.max(now);
+}
+
+/// Takes over what a worker's newest heartbeat says, with its `tasks`.
+fn record_heartbeat(
+    worker: &mut Worker,
+    heartbeat: &WorkerHeartbeat,
+    tasks: BTreeMap<TaskId, Vec<TaskStatus>>,
+    now: f64,
+) {
     if worker.last_heartbeat_at.is_none() {
         tracing::info!(
             worker = heartbeat.worker,
@@ -250,7 +270,7 @@
     worker.last_heartbeat_at = Some(now);
     worker.endpoint.clone_from(&heartbeat.endpoint);
     worker.reclaim_at = heartbeat.reclaim_in_s.map(|left_s| now + left_s);
-    worker.observed_tasks = observed_tasks(heartbeat);
+    worker.observed_tasks = tasks;
 }
 
 /// The statuses of a heartbeat by task; what is no task of ours is left out.
--- a/tests/forgotten_incarnations.rs
+++ b/tests/forgotten_incarnations.rs
@@ -36,6 +36,7 @@
 use world::{LEASE_S, digest};
 
 const JOB: &str = "j-000001";
+const OTHER_JOB: &str = "j-000002";
 const TASKS: u32 = 2;
 
 /// A leader whose worker runs a job.
@@ -100,9 +101,12 @@
     scene.mute_worker();
     scene.run(0.8 * LEASE_S);
     scene.restart_worker();
+    // A start is sent directly, and its response shows what is on the machine.
+    scene.submit(OTHER_JOB, 1);
     scene.run_until("started again", |scene| {
-        scene.running(JOB) == TASKS as usize
+        scene.running(JOB) == TASKS as usize && scene.running(OTHER_JOB) == 1
     });
+    scene.forget();
     scene.run(0.8 * LEASE_S);
     assert_eq!(bindings_ended(&scene), 0, "within the second life's lease");
     scene.run(0.5 * LEASE_S);
