--- /dev/null
+++ b/tests/late_leader_records.rs
@@ -0,0 +1,108 @@
+//! What is known of the `leader` key never goes back: a change or a response that is older deposes nobody.
+//!
+//! A controller whose lease had expired learnt that from a renewal, before its watch showed the deletion of the key. It
+//! was elected again at once. The deletion, which the watch brought then, was taken for one of the new key, and the
+//! new leadership ended; so did a late response to a renewal of the old lease. Workers and users saw one more change
+//! of leader. The log of the first case:
+//!
+//! ```text
+//! leadership lost      epoch=1      (the renewal: expired)
+//! leadership acquired  epoch=3
+//! leadership lost      epoch=3      (the watch: the deletion of revision 2)
+//! ```
+
+mod common;
+mod scene;
+
+use cedarladder::coordination::effects::{Effects, KvRequestKind};
+use cedarladder::coordination::election::{Election, ElectionTimeouts, LeadershipChange};
+use cedarladder::protocol::kv::KvResponse;
+use cedarladder::settings::WorkerSettings;
+use scene::{Held, Scene};
+
+/// A leader that knows of its second election what the renewal has told; its watch is late.
+fn elected_again() -> Scene {
+    let mut scene = Scene::default();
+    scene.run_until("an election", Scene::leads);
+    scene.run(1.0);
+    scene.hold(Held::LeaderWatches);
+    let first = scene.leader_revision();
+    scene.end_leader_lease();
+    scene.run_until("the lease to be missed", |scene| !scene.leads());
+    scene.run_until("another election", Scene::leads);
+    assert!(scene.leader_revision() > first);
+    scene
+}
+
+#[test]
+fn the_deletion_of_an_earlier_key_deposes_nobody() {
+    let mut scene = elected_again();
+    let epoch = scene.leader_revision();
+    scene.release(Held::LeaderWatches);
+    assert!(scene.leads());
+    scene.run(5.0);
+    assert!(scene.leads());
+    assert_eq!(scene.leader_revision(), epoch, "the same leadership");
+}
+
+#[test]
+fn the_deletion_of_the_own_key_deposes() {
+    let mut scene = elected_again();
+    scene.release(Held::LeaderWatches);
+    scene.run(1.0);
+    scene.end_leader_lease();
+    scene.run(0.05);
+    assert!(!scene.leads());
+}
+
+/// An election that was won with lease 9, a renewal of which is in flight since 3.0, was lost, and was won again with
+/// lease 10 at 3.3.
+fn won_again(effects: &mut Effects) -> Election {
+    let workers = WorkerSettings {
+        heartbeat_interval_s: 2.0,
+        lease_s: 10.0,
+        cancel_s: 30.0,
+    };
+    let mut election = Election::new("n0", 1, ElectionTimeouts::new(&workers));
+    win(&mut election, 9, 42, 0.0, effects);
+    election.poll(true, 3.0, effects, 3.0);
+    assert_eq!(election.observe_epoch(43), LeadershipChange::Deposed);
+    win(&mut election, 10, 44, 3.1, effects);
+    election
+}
+
+fn win(election: &mut Election, lease_id: u64, epoch: u64, from: f64, effects: &mut Effects) {
+    election.poll(true, from, effects, from);
+    let granted = KvResponse::LeaseGranted(lease_id);
+    election.on_response(
+        &KvRequestKind::GrantLease,
+        &granted,
+        from,
+        effects,
+        from + 0.1,
+    );
+    let committed = KvResponse::Committed(epoch);
+    let change = election.on_response(
+        &KvRequestKind::Campaign,
+        &committed,
+        from + 0.1,
+        effects,
+        from + 0.2,
+    );
+    assert_eq!(change, LeadershipChange::Elected(epoch));
+}
+
+/// The response to a renewal of the earlier lease says nothing of the lease held now.
+#[test]
+fn a_late_renewal_of_an_earlier_lease_changes_nothing() {
+    for response in [KvResponse::LeaseExpired, KvResponse::LeaseOk] {
+        let mut effects = Effects::default();
+        let mut election = won_again(&mut effects);
+        let kind = KvRequestKind::KeepAlive;
+        let change = election.on_response(&kind, &response, 3.0, &mut effects, 3.5);
+        assert_eq!(change, LeadershipChange::None, "{response:?}");
+        assert_eq!(election.epoch(), Some(44), "{response:?}");
+        // The lease was asked for at 3.1 and is certainly held for just under two seconds.
+        assert!(election.holds_lease(5.05), "{response:?}");
+    }
+}
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -13,7 +13,7 @@
 use cedarladder::protocol::cbor;
 use cedarladder::protocol::cloud::{CloudRequest, CloudResponse, Instance, InstanceStatus};
 use cedarladder::protocol::job::{JobKind, JobSpec, JobView};
-use cedarladder::protocol::kv::{Compare, KvRequest, KvResponse, Txn, WriteOp};
+use cedarladder::protocol::kv::{Compare, KeyValue, KvRequest, KvResponse, Txn, WriteOp};
 use cedarladder::protocol::peer::{JobCounts, PeerHeartbeat, Termination, TerminationLog};
 use cedarladder::protocol::token::FencingToken;
 use cedarladder::protocol::worker::{
@@ -46,6 +46,8 @@
     LaterPages,
     /// Watches on the open jobs.
     Watches,
+    /// Watches on the `leader` key.
+    LeaderWatches,
     /// Transactions that open jobs.
     Submissions,
     /// Reads of this job's `open/` key.
@@ -199,6 +201,26 @@
         self.controller.is_leader()
     }
 
+    /// The state service ends the lease of the `leader` key, and with it the key.
+    pub fn end_leader_lease(&mut self) {
+        let KvResponse::Value(KeyValue {
+            lease_id: Some(lease_id),
+            ..
+        }) = self.store.get(records::LEADER_KEY)
+        else {
+            panic!("a leader with a lease");
+        };
+        self.store.revoke_lease(lease_id);
+    }
+
+    /// Mod revision of the `leader` key; 0 if there is none.
+    pub fn leader_revision(&self) -> u64 {
+        match self.store.get(records::LEADER_KEY) {
+            KvResponse::Value(item) => item.mod_revision,
+            _ => 0,
+        }
+    }
+
     // ---- users
 
     /// A user's request; the number names its answer.
@@ -580,7 +602,12 @@
         let mut any = false;
         for watch in std::mem::take(&mut self.watches) {
             let is_open_jobs = watch.prefix == records::OPEN_PREFIX;
-            if is_open_jobs && self.holds.contains(&Held::Watches) {
+            let held = if is_open_jobs {
+                Held::Watches
+            } else {
+                Held::LeaderWatches
+            };
+            if self.holds.contains(&held) {
                 self.watches.push(watch);
                 continue;
             }
