The deletion of an earlier leader key deposes nobody

Callers saw: one more change of leader right after another, seconds in which workers and users are sent on.

Cause: a leader that had learnt of its expired lease from a renewal was elected again before its watch showed the deletion of its earlier key; that deletion was taken for one of the new key. Deletions and listings now carry their revision to the election, and what is older than the leader that is known changes nothing, as for jobs. A key that cannot be read counts as none in a listing, as before.

--- a/src/coordination/controller/leader_key.rs
+++ b/src/coordination/controller/leader_key.rs
@@ -19,17 +19,19 @@
     now: f64,
 ) -> LeadershipChange {
     match update {
-        WatchUpdate::Reset { items, .. } => {
+        WatchUpdate::Reset { items, revision } => {
             let item = items.iter().find(|item| item.key == records::LEADER_KEY);
-            let known = item.and_then(read_or_log);
-            election.observe_leader(known, jitter, now)
+            match item.and_then(read_or_log) {
+                Some(known) => election.observe_leader(Some(known), jitter, now),
+                None => election.observe_no_leader(revision, jitter, now),
+            }
         }
         WatchUpdate::Put(item) if item.key == records::LEADER_KEY => match read_or_log(&item) {
             Some(known) => election.observe_leader(Some(known), jitter, now),
             None => LeadershipChange::None,
         },
-        WatchUpdate::Deleted { key, .. } if key == records::LEADER_KEY => {
-            election.on_leader_deleted(jitter, now)
+        WatchUpdate::Deleted { key, mod_revision } if key == records::LEADER_KEY => {
+            election.on_leader_deleted(mod_revision, jitter, now)
         }
         WatchUpdate::Put(_) | WatchUpdate::Deleted { .. } => LeadershipChange::None,
     }
--- a/src/coordination/election/mod.rs
+++ b/src/coordination/election/mod.rs
@@ -52,6 +52,12 @@
 
     // ---- what is known
 
+    /// Mod revision of the `leader` key that is known; 0 if none is.
+    fn observed_revision(&self) -> u64 {
+        let observed = self.observed_leader.as_ref();
+        observed.map_or(0, |leader| leader.mod_revision)
+    }
+
     fn leadership(&self) -> Option<&Leadership> {
         match &self.state {
             ElectionState::Leader(leadership) => Some(leadership),
@@ -105,33 +111,50 @@
 
     // ---- what others show
 
-    /// Takes the content of the `leader` key that the watch shows. `jitter` in 0..1 spreads the campaigns
-    /// that follow a deletion.
+    /// Takes the content of the `leader` key that the watch shows. The watch may be late: an earlier leader
+    /// than is known changes nothing, and none does not depose. `jitter` in 0..1 spreads the campaigns that
+    /// follow a deletion.
     pub fn observe_leader(
         &mut self,
         known: Option<ObservedLeader>,
         jitter: f64,
         now: f64,
     ) -> LeadershipChange {
-        if known.is_none() && self.observed_leader.is_some() {
+        let Some(leader) = known else {
+            self.forget_leader(jitter, now);
+            return LeadershipChange::None;
+        };
+        let epoch = leader.mod_revision;
+        if self.observed_revision() <= epoch {
+            self.observed_leader = Some(leader);
+        }
+        self.observe_epoch(epoch)
+    }
+
+    /// Takes that there is no `leader` key at a revision.
+    pub fn observe_no_leader(&mut self, revision: u64, jitter: f64, now: f64) -> LeadershipChange {
+        if self.observed_revision() <= revision {
+            self.forget_leader(jitter, now);
+        }
+        LeadershipChange::None
+    }
+
+    fn forget_leader(&mut self, jitter: f64, now: f64) {
+        if self.observed_leader.take().is_some() {
             let delay_s = self.timeouts.campaign_delay_s(jitter);
             self.campaign_at = self.campaign_at.max(now + delay_s);
         }
-        self.observed_leader = known;
-        // The watch may be late: an earlier leader, or none, does not depose.
-        match &self.observed_leader {
-            Some(leader) => self.observe_epoch(leader.mod_revision),
-            None => LeadershipChange::None,
-        }
     }
 
-    /// Takes the deletion of the `leader` key, which deposes if the key that was deleted is our own: the
-    /// lease has expired.
-    pub fn on_leader_deleted(&mut self, jitter: f64, now: f64) -> LeadershipChange {
+    /// Takes the deletion of the `leader` key at a revision, which deposes if the key that was deleted is our
+    /// own: the lease has expired. The watch may be late: the deletion of an earlier key than is known changes
+    /// nothing.
+    pub fn on_leader_deleted(&mut self, revision: u64, jitter: f64, now: f64) -> LeadershipChange {
         let observed = self.observed_leader.as_ref();
         let observed_epoch = observed.map(|leader| leader.mod_revision);
-        let was_ours = observed_epoch.is_some() && observed_epoch == self.epoch();
-        self.observe_leader(None, jitter, now);
+        let was_ours =
+            observed_epoch.is_some_and(|epoch| epoch <= revision) && observed_epoch == self.epoch();
+        self.observe_no_leader(revision, jitter, now);
         if was_ours {
             self.step_down()
         } else {
