A renewal of an earlier lease says nothing of the present one

Callers saw: a leader that had just been elected again stepped down.

Cause: the response to a renewal was matched by its kind alone. One that was sent for the lease of an earlier leadership, and answered 404 after the next election, ended that; a 200 set its time of the last renewal back. A renewal that was sent before the election is for another lease, so its response is dropped.

--- a/src/coordination/election/mod.rs
+++ b/src/coordination/election/mod.rs
@@ -382,6 +382,10 @@
         sent: f64,
         now: f64,
     ) -> LeadershipChange {
+        // Asked for the lease of an earlier leadership, it says nothing of this one's.
+        if sent < leadership.elected_at {
+            return LeadershipChange::None;
+        }
         leadership.keep_alive_in_flight = false;
         match response {
             KvResponse::LeaseOk => leadership.renewed(sent, &self.timeouts),
