--- a/src/coordination/job_api/open_jobs.rs
+++ b/src/coordination/job_api/open_jobs.rs
@@ -43,6 +43,11 @@
         self.jobs.get(id)
     }
 
+    /// Number of jobs of which progress is kept.
+    pub fn jobs_with_progress(&self) -> usize {
+        self.progress.len()
+    }
+
     /// Ids of the jobs that were written at `revision` or before, in the order of the ids. A listing of
     /// that revision has all of them that are still open.
     pub fn ids_up_to(&self, revision: u64) -> impl Iterator<Item = &str> {
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -6,7 +6,7 @@
 #[path = "../standins/kv_store.rs"]
 pub mod kv_store;
 
-use cedarladder::bookkeeping::records::{self, FinishedRecord, JobOutcome};
+use cedarladder::bookkeeping::records::{self, FinishedRecord, JobOutcome, LeaderRecord};
 use cedarladder::coordination::controller::{Controller, Now};
 use cedarladder::coordination::effects::{CorrelationId, Effect};
 use cedarladder::policy::Policy;
@@ -290,29 +290,39 @@
         self.answer_watches();
     }
 
+    /// Another controller takes the `leader` key, before this one can.
+    pub fn led_elsewhere(&mut self) {
+        let record = LeaderRecord {
+            label: PEER.to_owned(),
+            process_incarnation: 1,
+        };
+        let txn = Txn {
+            compares: Vec::new(),
+            writes: vec![WriteOp::put(records::LEADER_KEY, &record)],
+        };
+        let response = self.store.transact(&txn);
+        assert!(matches!(response, KvResponse::Committed(_)));
+        self.settle();
+    }
+
     /// A peer's heartbeat says that a job was cancelled.
     pub fn told_by_peer(&mut self, id: &str) {
-        let termination = Termination {
+        self.told_end_by_peer(id, true);
+    }
+
+    /// A peer's heartbeat says how a job has ended.
+    pub fn told_end_by_peer(&mut self, id: &str, aborted: bool) {
+        let mut heartbeat = peer_heartbeat(PEER, 0);
+        heartbeat.terminations.entries.push(Termination {
             job: id.to_owned(),
-            aborted: true,
+            aborted,
             done: 0,
-        };
-        let heartbeat = PeerHeartbeat {
-            label: PEER.to_owned(),
-            epoch: 0,
-            leader: None,
-            state_service_ok: true,
-            redirected_workers: 0,
-            counts: Vec::new(),
-            crash_looping_jobs: Vec::new(),
-            changes_per_s: 0.0,
-            terminations: TerminationLog {
-                process_incarnation: 1,
-                first_sequence: 0,
-                entries: vec![termination],
-                acks: Vec::new(),
-            },
-        };
+        });
+        self.peer_heartbeat(heartbeat);
+    }
+
+    /// A heartbeat of a peer arrives.
+    pub fn peer_heartbeat(&mut self, heartbeat: PeerHeartbeat) {
         let now = self.clock();
         self.controller.on_peer_heartbeat(heartbeat, now);
         self.settle();
@@ -631,6 +641,24 @@
     }
 }
 
+/// A heartbeat of a peer that knows this epoch, and says nothing else.
+pub fn peer_heartbeat(label: &str, epoch: u64) -> PeerHeartbeat {
+    PeerHeartbeat {
+        label: label.to_owned(),
+        epoch,
+        leader: None,
+        state_service_ok: true,
+        redirected_workers: 0,
+        counts: Vec::new(),
+        crash_looping_jobs: Vec::new(),
+        changes_per_s: 0.0,
+        terminations: TerminationLog {
+            process_incarnation: 1,
+            ..TerminationLog::default()
+        },
+    }
+}
+
 fn is_submission(write: &WriteOp) -> bool {
     matches!(write, WriteOp::Put { key, .. } if key.starts_with(records::OPEN_PREFIX))
 }
