A lookup that finds no key removes no job from the table

Callers saw: polls of a job that had just been opened took one more lookup; the progress of such jobs stayed in memory for ever.

Cause: a lookup reads open/ and over/ one after the other. A job that is opened meanwhile may be shown by the watch before the lookup completes, which then removed it and kept its progress.

Only an end removes a job now, and progress is part of the job's entry, so that neither outlasts the other. Users are answered by what the lookup found, as before: their request is older than the job.

--- a/src/coordination/job_api/mod.rs
+++ b/src/coordination/job_api/mod.rs
@@ -405,8 +405,7 @@
                 self.open.insert(id, job.clone());
             }
             JobRecordState::Finished(record) => self.on_job_finished(id, *record),
-            JobRecordState::NotFound => self.open.remove_unknown(id),
-            JobRecordState::Undetermined => {}
+            JobRecordState::NotFound | JobRecordState::Undetermined => {}
         }
     }
 
--- a/src/coordination/job_api/open_jobs.rs
+++ b/src/coordination/job_api/open_jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::bookkeeping::jobs::ClosedJobs;
 use crate::protocol::job::{JobSpec, JobStatus, JobView};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A job whose `open/` key is in the state service.
@@ -27,9 +27,15 @@
 /// may be late, but it never goes back: what is older than what is known of a job changes nothing.
 #[derive(Debug, Default)]
 pub struct OpenJobs {
-    jobs: BTreeMap<String, OpenJob>,
+    jobs: BTreeMap<String, TrackedJob>,
     closed: ClosedJobs,
-    progress: HashMap<String, JobProgress>,
+}
+
+/// An open job with the progress last reported of it.
+#[derive(Debug)]
+struct TrackedJob {
+    job: OpenJob,
+    progress: Option<JobProgress>,
 }
 
 impl OpenJobs {
@@ -40,12 +46,13 @@
 
     /// The job, if it is known to be open.
     pub fn get(&self, id: &str) -> Option<&OpenJob> {
-        self.jobs.get(id)
+        self.jobs.get(id).map(|tracked| &tracked.job)
     }
 
     /// Number of jobs of which progress is kept.
     pub fn jobs_with_progress(&self) -> usize {
-        self.progress.len()
+        let tracked = self.jobs.values();
+        tracked.filter(|tracked| tracked.progress.is_some()).count()
     }
 
     /// Ids of the jobs that were written at `revision` or before, in the order of the ids. A listing of
@@ -53,7 +60,7 @@
     pub fn ids_up_to(&self, revision: u64) -> impl Iterator<Item = &str> {
         self.jobs
             .iter()
-            .filter(move |(_, job)| job.mod_revision <= revision)
+            .filter(move |(_, tracked)| tracked.job.mod_revision <= revision)
             .map(|(id, _)| id.as_str())
     }
 
@@ -66,36 +73,35 @@
             return false;
         }
         let known = self.jobs.get(id);
-        if known.is_some_and(|known| known.mod_revision > job.mod_revision) {
+        if known.is_some_and(|known| known.job.mod_revision > job.mod_revision) {
             return false;
         }
-        self.jobs.insert(id.to_owned(), job);
+        let progress = known.and_then(|known| known.progress);
+        self.jobs
+            .insert(id.to_owned(), TrackedJob { job, progress });
         true
     }
 
-    /// Removes a job that is closed, at a revision if that is known, with its progress.
+    /// Removes a job that is closed, at a revision if that is known, with its progress. Nothing else
+    /// removes one: a lookup that finds no key has read it before the job was opened.
     pub(super) fn close(&mut self, id: &str, revision: Option<u64>) {
         self.closed.insert(id, revision);
         self.jobs.remove(id);
-        self.progress.remove(id);
-    }
-
-    /// Removes a job that the state service does not have. Its progress stays, for a cancellation whose
-    /// response is still awaited.
-    pub(super) fn remove_unknown(&mut self, id: &str) {
-        self.jobs.remove(id);
     }
 
     /// Records the progress of a job, if it is open.
     pub(super) fn set_progress(&mut self, id: &str, progress: JobProgress) {
-        if self.jobs.contains_key(id) {
-            self.progress.insert(id.to_owned(), progress);
+        if let Some(tracked) = self.jobs.get_mut(id) {
+            tracked.progress = Some(progress);
         }
     }
 
     /// The progress last reported of a job; none reported counts as zero.
     pub(super) fn progress(&self, id: &str) -> JobProgress {
-        self.progress.get(id).copied().unwrap_or_default()
+        let tracked = self.jobs.get(id);
+        tracked
+            .and_then(|tracked| tracked.progress)
+            .unwrap_or_default()
     }
 
     /// What a user is shown of an open job.
