Counts of a deposed leader are not shown

Callers saw: polls told counts that jumped back, and 'queued' for a job that ran, while a leader did not know yet that it was deposed.

Cause: a controller took the counts of any peer's heartbeat. It takes them now only from a heartbeat of the highest epoch that it knows; a deposed leader's is lower.

--- a/src/coordination/controller/peer_heartbeats.rs
+++ b/src/coordination/controller/peer_heartbeats.rs
@@ -26,8 +26,11 @@
             Some(leader) if heartbeat.epoch >= leader.epoch() => {
                 leader.acknowledged_by(&heartbeat.label, now);
             }
-            Some(_) => {}
-            None => self.job_api.on_job_counts(&heartbeat.counts),
+            // A leader that does not know yet that it is deposed tells old counts.
+            None if heartbeat.epoch >= self.election.highest_epoch() => {
+                self.job_api.on_job_counts(&heartbeat.counts);
+            }
+            Some(_) | None => {}
         }
         self.peers.record(heartbeat, now);
     }
