A final state never changes, whoever says so

Callers could see: 'done' for a job that this controller had called 'aborted', if a peer's heartbeat said so (went_back). No way is known in which a correct peer does; the cache of final states took the last word. It keeps the first, and logs another outcome as an error.

--- a/src/coordination/job_api/terminal_states.rs
+++ b/src/coordination/job_api/terminal_states.rs
@@ -25,11 +25,16 @@
         self.records.get(id).copied()
     }
 
-    /// Records how a job has finished, and drops the oldest state if there are too many.
+    /// Records how a job has finished, unless that is known, and drops the oldest state if there are too
+    /// many.
     pub(super) fn insert(&mut self, id: &str, record: FinishedRecord) {
-        if self.records.insert(id.to_owned(), record).is_some() {
+        if let Some(known) = self.records.get(id) {
+            if known.outcome != record.outcome {
+                tracing::error!(job = id, ?known, ?record, "second final state ignored");
+            }
             return;
         }
+        self.records.insert(id.to_owned(), record);
         self.newly_finished.push(id.to_owned());
         self.order.push_back(id.to_owned());
         if self.order.len() > MAX_TERMINAL_STATES
