--- a/src/coordination/controller/leader_key.rs
+++ b/src/coordination/controller/leader_key.rs
@@ -19,7 +19,9 @@
     now: f64,
 ) -> LeadershipChange {
     match update {
-        WatchUpdate::Reset { items, revision } => {
+        WatchUpdate::Reset {
+            items, revision, ..
+        } => {
             let item = items.iter().find(|item| item.key == records::LEADER_KEY);
             match item.and_then(read_or_log) {
                 Some(known) => election.observe_leader(Some(known), jitter, now),
--- a/src/coordination/controller/open_jobs.rs
+++ b/src/coordination/controller/open_jobs.rs
@@ -20,7 +20,9 @@
     /// Takes one update of the watch on `open/`.
     pub(super) fn apply(&mut self, update: WatchUpdate, now: Now) {
         match update {
-            WatchUpdate::Reset { items, revision } => self.reset(items, revision, now),
+            WatchUpdate::Reset {
+                items, revision, ..
+            } => self.reset(items, revision, now),
             WatchUpdate::Put(item) => {
                 if let Some(id) = item.key.strip_prefix(records::OPEN_PREFIX) {
                     self.opened(id, &item, now);
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -12,6 +12,8 @@
         items: Vec<KeyValue>,
         /// The revision of the listing's first page: changes up to it are in the items.
         revision: u64,
+        /// Whether these are all keys: if not, one that is missing may exist.
+        is_complete: bool,
     },
     /// A key was put.
     Put(KeyValue),
@@ -136,6 +138,7 @@
                 vec![WatchUpdate::Reset {
                     items: std::mem::take(&mut self.partial),
                     revision: at,
+                    is_complete: true,
                 }]
             }
             KvResponse::Events { events, revision } => {
