--- a/src/coordination/controller/leader_key.rs
+++ b/src/coordination/controller/leader_key.rs
@@ -20,12 +20,15 @@
 ) -> LeadershipChange {
     match update {
         WatchUpdate::Reset {
-            items, revision, ..
+            items,
+            revision,
+            is_complete,
         } => {
             let item = items.iter().find(|item| item.key == records::LEADER_KEY);
             match item.and_then(read_or_log) {
                 Some(known) => election.observe_leader(Some(known), jitter, now),
-                None => election.observe_no_leader(revision, jitter, now),
+                None if is_complete => election.observe_no_leader(revision, jitter, now),
+                None => LeadershipChange::None,
             }
         }
         WatchUpdate::Put(item) if item.key == records::LEADER_KEY => match read_or_log(&item) {
--- a/src/coordination/controller/open_jobs.rs
+++ b/src/coordination/controller/open_jobs.rs
@@ -21,8 +21,10 @@
     pub(super) fn apply(&mut self, update: WatchUpdate, now: Now) {
         match update {
             WatchUpdate::Reset {
-                items, revision, ..
-            } => self.reset(items, revision, now),
+                items,
+                revision,
+                is_complete,
+            } => self.reset(items, revision, is_complete, now),
             WatchUpdate::Put(item) => {
                 if let Some(id) = item.key.strip_prefix(records::OPEN_PREFIX) {
                     self.opened(id, &item, now);
@@ -38,9 +40,9 @@
         }
     }
 
-    /// Takes all open jobs, as they are at a revision: a job that was opened at that revision or before
-    /// and is not listed has been closed.
-    fn reset(&mut self, items: Vec<KeyValue>, revision: u64, now: Now) {
+    /// Takes the open jobs, as they are at a revision: if these are all, a job that was opened at that
+    /// revision or before and is not listed has been closed.
+    fn reset(&mut self, items: Vec<KeyValue>, revision: u64, is_complete: bool, now: Now) {
         let listed: BTreeMap<String, KeyValue> = items
             .into_iter()
             .filter_map(|item| {
@@ -48,6 +50,21 @@
                 Some((id, item))
             })
             .collect();
+        tracing::debug!(
+            revision,
+            jobs = listed.len(),
+            is_complete,
+            "open jobs listed"
+        );
+        if is_complete {
+            self.close_unlisted(&listed, revision);
+        }
+        for (id, item) in listed {
+            self.opened(&id, &item, now);
+        }
+    }
+
+    fn close_unlisted(&mut self, listed: &BTreeMap<String, KeyValue>, revision: u64) {
         let closed: Vec<String> = self
             .job_api
             .open_jobs()
@@ -55,12 +72,6 @@
             .filter(|id| !listed.contains_key(*id))
             .map(str::to_owned)
             .collect();
-        tracing::debug!(
-            revision,
-            jobs = listed.len(),
-            closed = closed.len(),
-            "open jobs listed"
-        );
         for id in closed {
             self.job_api.on_job_closed(&id);
             self.tell_leader_of_closed(&id);
@@ -70,9 +81,6 @@
         if let Some(leader) = &mut self.leader {
             leader.on_open_jobs_listed(revision, listed.keys().cloned().collect());
         }
-        for (id, item) in listed {
-            self.opened(&id, &item, now);
-        }
     }
 
     fn opened(&mut self, id: &str, item: &KeyValue, now: Now) {
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -47,6 +47,9 @@
 /// How often a watch that waits asks anew before it is no longer thought to be in step.
 const CAUGHT_UP_FACTOR: f64 = 2.0;
 
+/// Retries in the timeout of a request, after a response that is of no use.
+const RETRIES_PER_TIMEOUT: f64 = 4.0;
+
 /// Keys that a watch keeps of an unfinished listing; more are not held.
 const MAX_ITEMS: usize = 50_000;
 
@@ -125,45 +128,8 @@
                 items,
                 more,
                 revision,
-            } => {
-                let at = *self.listing_revision.get_or_insert(revision);
-                let progress = !items.is_empty();
-                self.partial.extend(items);
-                if more && progress && self.partial.len() < MAX_ITEMS {
-                    return Vec::new();
-                }
-                self.listing_revision = None;
-                self.revision = Some(at);
-                self.complete = true;
-                vec![WatchUpdate::Reset {
-                    items: std::mem::take(&mut self.partial),
-                    revision: at,
-                    is_complete: true,
-                }]
-            }
-            KvResponse::Events { events, revision } => {
-                self.failed = false;
-                self.revision = Some(revision.max(self.revision.unwrap_or(0)));
-                self.current_at = sent;
-                events
-                    .into_iter()
-                    .map(|event| match event {
-                        WatchEvent::Put {
-                            key,
-                            value,
-                            mod_revision,
-                        } => WatchUpdate::Put(KeyValue {
-                            key,
-                            value,
-                            mod_revision,
-                            lease_id: None,
-                        }),
-                        WatchEvent::Delete { key, mod_revision } => {
-                            WatchUpdate::Deleted { key, mod_revision }
-                        }
-                    })
-                    .collect()
-            }
+            } => self.on_page(items, more, revision, now),
+            KvResponse::Events { events, revision } => self.on_events(events, revision, sent, now),
             KvResponse::Compacted => {
                 self.revision = None;
                 Vec::new()
@@ -177,9 +143,137 @@
             }
             other => {
                 self.failed = matches!(other, KvResponse::OutcomeUnknown);
-                self.retry_at = now + self.request_timeout_s / 4.0;
+                self.retry_later(now);
                 Vec::new()
             }
         }
     }
+
+    fn retry_later(&mut self, now: f64) {
+        self.retry_at = now + self.request_timeout_s / RETRIES_PER_TIMEOUT;
+    }
+
+    /// Takes a page of the listing. The last one completes it.
+    fn on_page(
+        &mut self,
+        items: Vec<KeyValue>,
+        more: bool,
+        revision: u64,
+        now: f64,
+    ) -> Vec<WatchUpdate> {
+        let at = *self.listing_revision.get_or_insert(revision);
+        if revision < at {
+            // Pages of different states make no listing.
+            tracing::error!(
+                prefix = self.prefix,
+                revision,
+                first_page = at,
+                "listing begun anew: a page is of an earlier revision than the first"
+            );
+            self.listing_revision = None;
+            self.partial.clear();
+            self.retry_later(now);
+            return Vec::new();
+        }
+        let progress = !items.is_empty();
+        self.partial.extend(items);
+        let is_full = self.partial.len() >= MAX_ITEMS;
+        if more && progress && !is_full {
+            return Vec::new();
+        }
+        if more {
+            tracing::error!(
+                prefix = self.prefix,
+                keys = self.partial.len(),
+                "listing cut short: keys that it does not show are kept"
+            );
+        }
+        let mut items = std::mem::take(&mut self.partial);
+        let keys_listed = items.len();
+        // Each page shows a revision of its own, and the last one the latest.
+        items.retain(|item| is_possible(&item.key, item.mod_revision, 0, revision));
+        self.listing_revision = None;
+        self.revision = Some(at);
+        self.complete = true;
+        vec![WatchUpdate::Reset {
+            revision: at,
+            is_complete: !more && items.len() == keys_listed,
+            items,
+        }]
+    }
+
+    /// Takes the changes up to a revision, which the call that was made at `sent` has brought.
+    fn on_events(
+        &mut self,
+        events: Vec<WatchEvent>,
+        revision: u64,
+        sent: f64,
+        now: f64,
+    ) -> Vec<WatchUpdate> {
+        self.failed = false;
+        let known = self.revision.unwrap_or(0);
+        if revision < known {
+            tracing::error!(
+                prefix = self.prefix,
+                revision,
+                known,
+                "changes ignored: they lead to an earlier revision than is known"
+            );
+            self.retry_later(now);
+            return Vec::new();
+        }
+        self.revision = Some(revision);
+        self.current_at = sent;
+        let updates = events.into_iter().map(WatchUpdate::from);
+        updates
+            .filter(|update| update.is_between(known, revision))
+            .collect()
+    }
+}
+
+/// Whether a key can have been changed last at a revision: later than `after`, and at `latest` at the latest. If
+/// not, that is logged.
+fn is_possible(key: &str, mod_revision: u64, after: u64, latest: u64) -> bool {
+    let possible = mod_revision > after && mod_revision <= latest;
+    if !possible {
+        tracing::error!(
+            key,
+            mod_revision,
+            after,
+            latest,
+            "record ignored: impossible revision"
+        );
+    }
+    possible
+}
+
+impl WatchUpdate {
+    /// Whether a change was made after a revision, and not after the latest.
+    fn is_between(&self, after: u64, latest: u64) -> bool {
+        match self {
+            WatchUpdate::Reset { .. } => true,
+            WatchUpdate::Put(item) => is_possible(&item.key, item.mod_revision, after, latest),
+            WatchUpdate::Deleted { key, mod_revision } => {
+                is_possible(key, *mod_revision, after, latest)
+            }
+        }
+    }
+}
+
+impl From<WatchEvent> for WatchUpdate {
+    fn from(event: WatchEvent) -> WatchUpdate {
+        match event {
+            WatchEvent::Put {
+                key,
+                value,
+                mod_revision,
+            } => WatchUpdate::Put(KeyValue {
+                key,
+                value,
+                mod_revision,
+                lease_id: None,
+            }),
+            WatchEvent::Delete { key, mod_revision } => WatchUpdate::Deleted { key, mod_revision },
+        }
+    }
 }
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -104,6 +104,7 @@
     let items = vec![item(1, 5), item(2, 0), item(3, 10), item(4, 9)];
     let updates = watch.on_response(page(items, false, 9), 0.0, 0.1);
     assert_eq!(numbers(&updates), [1, 4]);
+    assert!(!is_complete(&updates), "the others have not been deleted");
 }
 
 /// A later page shows an earlier state than the first: the keys are listed anew.
