--- a/tests/older_knowledge.rs
+++ b/tests/older_knowledge.rs
@@ -5,6 +5,8 @@
 //!   stayed for ever.
 //! - A leader that had not learnt yet that it was deposed told its counts, and the controllers showed those.
 //! - The word of a peer replaced a final state that was known.
+//! - A cancellation was told with the count at its response, which the watch had dropped by then, in place of the count
+//!   that was written: controllers differed.
 
 mod common;
 mod scene;
@@ -17,7 +19,7 @@
 use cedarladder::protocol::peer::JobCounts;
 use cedarladder::settings::StateLimits;
 use common::spec;
-use scene::{Scene, peer_heartbeat};
+use scene::{Held, Scene, peer_heartbeat};
 
 const ID: &str = "j-000001";
 
@@ -125,6 +127,30 @@
     );
 }
 
+/// The watch shows the end of the job before the response to its cancellation arrives.
+#[test]
+fn a_cancelled_job_is_shown_with_the_count_that_was_written() {
+    let mut scene = Scene::default();
+    scene.led_elsewhere();
+    scene.run(1.0);
+    let submission = scene.submit(ID, 4);
+    scene.run_until("the submission", |scene| scene.answer(submission).is_some());
+    let mut of_leader = peer_heartbeat("n1", 30);
+    of_leader.counts.push(JobCounts {
+        job: ID.to_owned(),
+        done: 3,
+        running: 1,
+    });
+    scene.peer_heartbeat(of_leader);
+    scene.hold(Held::Cancellations);
+    scene.cancel(ID);
+    scene.run(0.2);
+    assert!(scene.is_holding(Held::Cancellations));
+    scene.release(Held::Cancellations);
+    let view = scene.view(ID);
+    assert_eq!((view.status, view.done), (JobStatus::Aborted, 3));
+}
+
 #[test]
 fn a_final_state_never_changes() {
     let mut scene = Scene::default();
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -50,8 +50,10 @@
     LeaderWatches,
     /// Transactions that open jobs.
     Submissions,
-    /// Reads of this job's `open/` key.
+    /// Reads of `open/` keys.
     Lookups,
+    /// Transactions that cancel jobs.
+    Cancellations,
 }
 
 #[derive(Debug)]
@@ -600,6 +602,7 @@
                 after: Some(_),
             } if prefix == records::OPEN_PREFIX => Held::LaterPages,
             KvRequest::Txn(txn) if txn.writes.iter().any(is_submission) => Held::Submissions,
+            KvRequest::Txn(txn) if is_cancellation(txn) => Held::Cancellations,
             KvRequest::Get(key) if key.starts_with(records::OPEN_PREFIX) => Held::Lookups,
             _ => return None,
         };
@@ -663,6 +666,16 @@
     matches!(write, WriteOp::Put { key, .. } if key.starts_with(records::OPEN_PREFIX))
 }
 
+/// Whether a transaction ends jobs without the leader's log.
+fn is_cancellation(txn: &Txn) -> bool {
+    let puts = |prefix: &str| {
+        txn.writes
+            .iter()
+            .any(|write| matches!(write, WriteOp::Put { key, .. } if key.starts_with(prefix)))
+    };
+    puts(records::FINISHED_PREFIX) && !puts(records::LOG_PREFIX)
+}
+
 /// The body of a submission of an array of tasks that take two CPUs each.
 fn submission(id: &str, tasks: u32, rank: &str) -> Vec<u8> {
     let text = |text: &str| Value::Text(text.to_owned());
