A cancellation is told with the count that was written

Callers saw: 'done' counts of a cancelled job that differed from controller to controller, and jumped with the last one heard.

Cause: the record that a cancellation writes was made up once more at its response, when the watch had often removed the job with its progress already: 0 tasks done. The record that is written now goes with the request, and is what is announced.

--- a/src/coordination/job_api/mod.rs
+++ b/src/coordination/job_api/mod.rs
@@ -233,6 +233,7 @@
             deadline: self.admission.deadline(&kind, now),
             kind,
             checked_as_open: false,
+            written_state: None,
         });
         self.send_due_requests(effects, now);
     }
@@ -343,13 +344,15 @@
         effects: &mut Effects,
     ) -> Option<OpenJob> {
         let id = &pending.job;
-        let RequestKind::Submit(spec) = &pending.kind else {
-            let record = writes::aborted_record(id, &self.open);
+        if let Some(record) = pending.written_state {
             tracing::debug!(job = id, mod_revision, "job cancelled");
             self.on_job_closed_at(id, mod_revision);
             self.announce_finished(id, record);
             self.respond_finished(pending.request_id, id, &pending.kind, record, effects);
             return None;
+        }
+        let RequestKind::Submit(spec) = &pending.kind else {
+            return None;
         };
         let job = OpenJob {
             mod_revision,
--- a/src/coordination/job_api/pending_request.rs
+++ b/src/coordination/job_api/pending_request.rs
@@ -1,6 +1,7 @@
 //! User requests that wait for the state service.
 
 use super::admission::UnsatisfiableJob;
+use crate::bookkeeping::records::FinishedRecord;
 use crate::protocol::job::JobSpec;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -28,6 +29,8 @@
     pub(super) deadline: f64,
     /// Whether the revision check that is in flight compares the job as open.
     pub(super) checked_as_open: bool,
+    /// The final state that the cancellation in flight writes.
+    pub(super) written_state: Option<FinishedRecord>,
 }
 
 /// Removes the requests from a queue whose deadline has passed, and returns them in order.
--- a/src/coordination/job_api/writes.rs
+++ b/src/coordination/job_api/writes.rs
@@ -29,6 +29,8 @@
 struct RequestedWrites {
     open_mod_revision: u64,
     operations: Vec<WriteOp>,
+    /// The job's final state, if they end it.
+    finished: Option<FinishedRecord>,
     /// Size of the operations in bytes.
     bytes: usize,
 }
@@ -153,7 +155,7 @@
         operations <= max_operations && (self.requests.is_empty() || bytes <= MAX_BATCH_BYTES)
     }
 
-    fn add(&mut self, pending: PendingRequest, writes: RequestedWrites) {
+    fn add(&mut self, mut pending: PendingRequest, writes: RequestedWrites) {
         self.bytes += writes.bytes;
         let open_key = records::open_key(&pending.job);
         let finished_key = records::finished_key(&pending.job);
@@ -162,14 +164,20 @@
             .push(Compare::new(open_key, writes.open_mod_revision));
         self.txn.compares.push(Compare::new(finished_key, 0));
         self.txn.writes.extend(writes.operations);
+        pending.written_state = writes.finished;
         self.requests.push(pending);
     }
 }
 
 impl RequestedWrites {
-    fn new(open_mod_revision: u64, operations: Vec<WriteOp>) -> RequestedWrites {
+    fn new(
+        open_mod_revision: u64,
+        operations: Vec<WriteOp>,
+        finished: Option<FinishedRecord>,
+    ) -> RequestedWrites {
         RequestedWrites {
             open_mod_revision,
+            finished,
             bytes: operations.iter().map(WriteOp::json_size).sum(),
             operations,
         }
@@ -182,19 +190,24 @@
     let open_key = records::open_key(&pending.job);
     if let RequestKind::Submit(spec) = &pending.kind {
         let operations = vec![WriteOp::put(open_key, spec.as_ref())];
-        return Some(RequestedWrites::new(0, operations));
+        return Some(RequestedWrites::new(0, operations, None));
     }
     let job = open.get(&pending.job)?;
     let finished_key = records::finished_key(&pending.job);
+    let record = aborted_record(&pending.job, open);
     let operations = vec![
         WriteOp::delete(open_key),
-        WriteOp::put(finished_key, &aborted_record(&pending.job, open)),
+        WriteOp::put(finished_key, &record),
     ];
-    Some(RequestedWrites::new(job.mod_revision, operations))
+    Some(RequestedWrites::new(
+        job.mod_revision,
+        operations,
+        Some(record),
+    ))
 }
 
 /// The record of a job that is cancelled now.
-pub(super) fn aborted_record(job: &str, open: &OpenJobs) -> FinishedRecord {
+fn aborted_record(job: &str, open: &OpenJobs) -> FinishedRecord {
     FinishedRecord {
         outcome: JobOutcome::Aborted,
         completed_tasks: open.progress(job).completed_tasks,
