--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -11,7 +11,9 @@
 use cedarladder::coordination::effects::{CorrelationId, Effect};
 use cedarladder::policy::Policy;
 use cedarladder::protocol::cbor;
-use cedarladder::protocol::cloud::{CloudRequest, CloudResponse, Instance, InstanceStatus};
+use cedarladder::protocol::cloud::{
+    CloudRequest, CloudResponse, Instance, InstanceStatus, InstanceType,
+};
 use cedarladder::protocol::job::{JobKind, JobSpec, JobView};
 use cedarladder::protocol::kv::{Compare, KeyValue, KvRequest, KvResponse, Txn, WriteOp};
 use cedarladder::protocol::peer::{JobCounts, PeerHeartbeat, Termination, TerminationLog};
@@ -54,6 +56,8 @@
     Lookups,
     /// Transactions that cancel jobs.
     Cancellations,
+    /// Puts of the instance types: they are not carried out, and have no usable response.
+    Catalog,
 }
 
 #[derive(Debug)]
@@ -95,6 +99,8 @@
     pub sent: Sent,
     /// Counts of the latest heartbeat to the peers.
     pub counts: Vec<JobCounts>,
+    /// The instance types that the cloud lists.
+    pub instance_types: Vec<InstanceType>,
     /// Whether the state service says once that the revision to watch from is compacted.
     pub compacts: bool,
     controller: Controller,
@@ -116,6 +122,7 @@
             store: KvStore::new(MAX_CHANGES),
             sent: Sent::default(),
             counts: Vec::new(),
+            instance_types: vec![super::common::instance_type("f")],
             compacts: false,
             controller: Controller::new(Rc::new(settings), Rc::new(policy), 1),
             holds: Vec::new(),
@@ -268,6 +275,16 @@
         cbor::decode(body).expect("a view")
     }
 
+    /// The transactions since [`Scene::forget`] that put a key.
+    pub fn puts_of(&self, key: &str) -> Vec<Txn> {
+        let puts = |write: &WriteOp| matches!(write, WriteOp::Put { key: put, .. } if put == key);
+        let transactions = self.sent.transactions.iter();
+        transactions
+            .filter(|(txn, _)| txn.writes.iter().any(puts))
+            .map(|(txn, _)| txn.clone())
+            .collect()
+    }
+
     // ---- other controllers
 
     /// Another controller cancels a job in the state service.
@@ -526,7 +543,7 @@
     fn on_cloud_request(&mut self, request: &CloudRequest) -> CloudResponse {
         match request {
             CloudRequest::ListInstanceTypes => {
-                CloudResponse::InstanceTypes(vec![super::common::instance_type("f")])
+                CloudResponse::InstanceTypes(self.instance_types.clone())
             }
             CloudRequest::CreateInstances(request) => {
                 self.sent.instances_requested += request.count;
@@ -563,8 +580,16 @@
             });
             return;
         }
-        let response = self.respond(&request);
         let held = self.held_as(&request);
+        if held == Some(Held::Catalog)
+            && let KvRequest::Txn(txn) = request
+        {
+            self.sent.transactions.push((txn, false));
+            let response = KvResponse::OutcomeUnknown;
+            self.held.push((Held::Catalog, correlation_id, response));
+            return;
+        }
+        let response = self.respond(&request);
         if let KvRequest::Txn(txn) = request {
             let committed = matches!(response, KvResponse::Committed(_));
             self.sent.transactions.push((txn, committed));
@@ -603,6 +628,7 @@
             } if prefix == records::OPEN_PREFIX => Held::LaterPages,
             KvRequest::Txn(txn) if txn.writes.iter().any(is_submission) => Held::Submissions,
             KvRequest::Txn(txn) if is_cancellation(txn) => Held::Cancellations,
+            KvRequest::Txn(txn) if txn.writes.iter().any(is_catalog) => Held::Catalog,
             KvRequest::Get(key) if key.starts_with(records::OPEN_PREFIX) => Held::Lookups,
             _ => return None,
         };
@@ -666,6 +692,10 @@
     matches!(write, WriteOp::Put { key, .. } if key.starts_with(records::OPEN_PREFIX))
 }
 
+fn is_catalog(write: &WriteOp) -> bool {
+    matches!(write, WriteOp::Put { key, .. } if key == records::INSTANCE_CATALOG_KEY)
+}
+
 /// Whether a transaction ends jobs without the leader's log.
 fn is_cancellation(txn: &Txn) -> bool {
     let puts = |prefix: &str| {
