--- a/src/coordination/scheduler/placement.rs
+++ b/src/coordination/scheduler/placement.rs
@@ -74,6 +74,12 @@
         self.tasks_per_zone[zone] += 1;
         *self.placed_per_worker.entry(worker).or_default() += 1;
     }
+
+    /// Takes back all that was recorded. Only gangs are rolled back, of which no task is bound before.
+    fn reset(&mut self) {
+        self.tasks_per_zone.fill(0);
+        self.placed_per_worker.clear();
+    }
 }
 
 /// What came of placing a job's tasks.
@@ -124,7 +130,7 @@
             }
         }
         self.quotas = checkpoint.quotas;
-        placement.tasks_per_zone.fill(0);
+        placement.reset();
     }
 
     fn place_each_task(
