Instance types are put by the leader that holds the key, or not at all

Callers could see: jobs refused that fit a new instance type only, at a controller that starts while the cloud is out.

Cause: the put of `catalogue` had no compare, so that one held on its way from a deposed leader replaced its successor's. It also counted as done when it was sent.

The put compares `leader` with the epoch: a compare that failed once never holds again, as for the log. The types count as stored once the put is committed, and are put again else. KvRequestKind::Ignored has no user left and goes.

Records that recovery can't read are logged with their key in one way.

--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -265,10 +265,9 @@
                 self.on_leader_kv_response(&kind, epoch, response, now);
             }
             KvRequestKind::InstanceCatalog => {
-                let changed = self.catalog.on_stored_types(&response);
+                let changed = self.catalog.on_kv_response(&response);
                 self.set_instance_types_if(changed);
             }
-            KvRequestKind::Ignored => {}
         }
     }
 
@@ -396,8 +395,8 @@
             .election
             .poll(watching, current_at, &mut self.effects, t);
         self.apply_leadership_change(change, t);
-        let leads = self.leader.is_some();
-        self.catalog.poll(leads, &mut self.effects, t);
+        let epoch = self.leader.as_ref().map(Leader::epoch);
+        self.catalog.poll(epoch, &mut self.effects, t);
         self.job_api.send_due_requests(&mut self.effects, t);
         self.poll_heartbeats(t);
         self.resign_if_partitioned(t);
--- a/src/coordination/effects.rs
+++ b/src/coordination/effects.rs
@@ -88,10 +88,8 @@
     LogAppend(u64),
     /// The leader's read of a log segment that tells the outcome of a transaction, with its epoch.
     LogReadBack(u64),
-    /// The stored instance types.
+    /// A read or a put of the stored instance types.
     InstanceCatalog,
-    /// A request whose response does not matter.
-    Ignored,
 }
 
 impl KvRequestKind {
--- a/src/coordination/instance_catalog.rs
+++ b/src/coordination/instance_catalog.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::records;
 use crate::protocol::cbor;
 use crate::protocol::cloud::{CloudRequest, CloudResponse, InstanceType};
-use crate::protocol::kv::{KvRequest, KvResponse, Txn, WriteOp};
+use crate::protocol::kv::{Compare, KeyValue, KvRequest, KvResponse, Txn, WriteOp};
 use crate::settings::WorkerSettings;
 use std::rc::Rc;
 
@@ -20,7 +20,10 @@
     lease_s: f64,
     heartbeat_interval_s: f64,
     instance_types: Option<Rc<Vec<InstanceType>>>,
+    /// What the state service keeps, as far as known.
     stored: Option<Rc<Vec<InstanceType>>>,
+    /// What a put in flight writes.
+    being_stored: Option<Rc<Vec<InstanceType>>>,
     refresh_at: f64,
     /// What the state service keeps has been read, or is certainly missing.
     stored_read: bool,
@@ -34,6 +37,7 @@
             heartbeat_interval_s: worker_settings.heartbeat_interval_s,
             instance_types: None,
             stored: None,
+            being_stored: None,
             refresh_at: 0.0,
             stored_read: false,
         }
@@ -44,8 +48,9 @@
         self.instance_types.as_ref()
     }
 
-    /// Asks the cloud if it is time, and reads or keeps the types in the state service.
-    pub fn poll(&mut self, leads: bool, effects: &mut Effects, now: f64) {
+    /// Asks the cloud if it is time, and reads the types in the state service, or keeps them there if this
+    /// controller leads with an epoch.
+    pub fn poll(&mut self, epoch: Option<u64>, effects: &mut Effects, now: f64) {
         if now < self.refresh_at {
             return;
         }
@@ -59,13 +64,14 @@
         if !self.stored_read {
             let call = KvRequest::Get(records::INSTANCE_CATALOG_KEY.to_owned());
             effects.call_kv(KvRequestKind::InstanceCatalog, call, within_s, now);
-        } else if leads {
-            self.store_types(within_s, effects, now);
+        } else if let Some(epoch) = epoch {
+            self.store_types(epoch, within_s, effects, now);
         }
     }
 
-    /// Keeps the types in the state service, unless that has the same.
-    fn store_types(&mut self, within_s: f64, effects: &mut Effects, now: f64) {
+    /// Keeps the types in the state service, unless that has the same. The put may arrive late: it compares
+    /// the leader's key, so that it replaces nothing that a successor has put.
+    fn store_types(&mut self, epoch: u64, within_s: f64, effects: &mut Effects, now: f64) {
         let Some(instance_types) = &self.instance_types else {
             return;
         };
@@ -74,14 +80,15 @@
             return;
         }
         let txn = Txn {
-            compares: Vec::new(),
+            compares: vec![Compare::new(records::LEADER_KEY, epoch)],
             writes: vec![WriteOp::put(
                 records::INSTANCE_CATALOG_KEY,
                 instance_types.as_ref(),
             )],
         };
-        self.stored = Some(instance_types.clone());
-        effects.call_kv(KvRequestKind::Ignored, KvRequest::Txn(txn), within_s, now);
+        self.being_stored = Some(instance_types.clone());
+        let kind = KvRequestKind::InstanceCatalog;
+        effects.call_kv(kind, KvRequest::Txn(txn), within_s, now);
     }
 
     /// Takes the cloud's answer. True: the types are new.
@@ -95,14 +102,26 @@
         true
     }
 
-    /// Takes what the state service keeps. True: the types are new.
-    pub fn on_stored_types(&mut self, response: &KvResponse) -> bool {
-        self.stored_read |= matches!(response, KvResponse::Value(_) | KvResponse::NotFound);
-        let KvResponse::Value(item) = response else {
-            return false;
-        };
-        let Ok(instance_types) = cbor::from_value::<Vec<InstanceType>>(&item.value) else {
-            return false;
+    /// Takes the state service's response to a read or a put of the types. True: the types are new.
+    pub fn on_kv_response(&mut self, response: &KvResponse) -> bool {
+        match response {
+            KvResponse::Value(item) => return self.on_stored_types(item),
+            KvResponse::NotFound => self.stored_read = true,
+            KvResponse::Committed(_) => self.stored = self.being_stored.take(),
+            // Read or put again at the next refresh.
+            _ => self.being_stored = None,
+        }
+        false
+    }
+
+    fn on_stored_types(&mut self, item: &KeyValue) -> bool {
+        self.stored_read = true;
+        let instance_types = match cbor::from_value::<Vec<InstanceType>>(&item.value) {
+            Ok(instance_types) => instance_types,
+            Err(error) => {
+                tracing::error!(key = item.key, %error, "instance types unreadable");
+                return false;
+            }
         };
         let instance_types = Rc::new(instance_types);
         self.stored = Some(instance_types.clone());
--- a/src/coordination/leader/recovery.rs
+++ b/src/coordination/leader/recovery.rs
@@ -12,6 +12,7 @@
 use crate::protocol::job::JobSpec;
 use crate::protocol::kv::{KeyValue, KvRequest, KvResponse};
 use crate::protocol::worker::{TaskId, WorkerHeartbeat};
+use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Workers whose heartbeats are kept during recovery.
@@ -161,41 +162,45 @@
     }
 
     fn decode_job(&self, item: &KeyValue) -> Option<RecoveredJob> {
-        let spec = cbor::from_value::<JobSpec>(&item.value).ok()?;
+        let spec = read_or_log::<JobSpec>(item, "job record unreadable")?;
         let mod_revision = item.mod_revision;
         let is_news = self.closed_jobs.allow_open(&spec.id, mod_revision);
         is_news.then_some(RecoveredJob { mod_revision, spec })
     }
 }
 
-fn decode_segment(item: KeyValue, epoch: u64) -> Option<RecoveredSegment> {
-    match cbor::from_value::<Segment>(&item.value) {
-        Ok(segment) => {
-            if segment.epoch > epoch {
-                tracing::error!(
-                    key = item.key,
-                    epoch = segment.epoch,
-                    ours = epoch,
-                    "Epoch: the segment is of a leader after this one, which can't be; its \
-                     bindings are kept. Look for a state service that was set back"
-                );
-            }
-            Some(RecoveredSegment {
-                key: item.key,
-                mod_revision: item.mod_revision,
-                segment,
-            })
-        }
+/// Decodes a record; one that can't be decoded is logged and left out.
+fn read_or_log<T: DeserializeOwned>(item: &KeyValue, message: &str) -> Option<T> {
+    match cbor::from_value::<T>(&item.value) {
+        Ok(record) => Some(record),
         Err(error) => {
-            tracing::error!(key = item.key, %error, "log segment unreadable");
+            tracing::error!(key = item.key, mod_revision = item.mod_revision, %error, "{message}");
             None
         }
     }
 }
 
+fn decode_segment(item: KeyValue, epoch: u64) -> Option<RecoveredSegment> {
+    let segment = read_or_log::<Segment>(&item, "log segment unreadable")?;
+    if segment.epoch > epoch {
+        tracing::error!(
+            key = item.key,
+            epoch = segment.epoch,
+            ours = epoch,
+            "Epoch: the segment is of a leader after this one, which can't be; its bindings are kept. Look for a \
+             state service that was set back"
+        );
+    }
+    Some(RecoveredSegment {
+        key: item.key,
+        mod_revision: item.mod_revision,
+        segment,
+    })
+}
+
 fn decode_provisioning(item: &KeyValue) -> Option<RecoveredProvisioning> {
     let idempotency_key = item.key.strip_prefix(records::PROVISIONING_PREFIX)?;
-    let record = cbor::from_value::<ProvisioningRecord>(&item.value).ok()?;
+    let record = read_or_log::<ProvisioningRecord>(item, "provisioning record unreadable")?;
     Some(RecoveredProvisioning {
         idempotency_key: idempotency_key.to_owned(),
         record,
