Test: each guard of the view's freshness has a case of the simulated world

Renewals beyond the lease grace period, starts on an old view, and starts while the state service is in doubt were seen by unit cases only.

--- a/tests/world/checks.rs
+++ b/tests/world/checks.rs
@@ -39,6 +39,10 @@
     /// Tasks of each job that failed, and on each machine.
     pub failures: BTreeMap<String, u32>,
     pub failures_on: BTreeMap<String, u32>,
+    /// Heartbeats that came during a pause and were served before the controller's timers.
+    pub heartbeats_before_timers: u32,
+    /// Watches that were refused for their rate.
+    pub limited_watches: u32,
     /// Pauses of a controller between a decision and what follows from it.
     pub pauses: u32,
     /// Requests of users to a controller that has ended without a word.
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -292,6 +292,42 @@
             .is_some()
     }
 
+    /// The leader's watch on the open jobs is over the state service's rate limit, while all its other calls
+    /// are served. False: nobody leads.
+    pub fn limit_watch(&mut self, for_s: f64) -> bool {
+        self.set_leader_fault(for_s, |world| &mut world.watch_limited_until)
+            .is_some()
+    }
+
+    /// The controllers in the partitioned zone stand still for a while; after that they serve what has come
+    /// before their timers run. Returns how many there are.
+    pub fn pause_partitioned_controllers(&mut self, for_s: f64) -> usize {
+        let inside: Vec<usize> = (0..self.controllers.len())
+            .filter(|i| self.is_in_partition(*i))
+            .collect();
+        for i in &inside {
+            self.paused_until[*i] = self.now + for_s;
+            self.timers_last[*i] = true;
+        }
+        inside.len()
+    }
+
+    /// The machines of a zone stand still for a while, and go on then unless their leases are over.
+    pub fn hang_workers(&mut self, zone: &str, for_s: f64) {
+        let until = self.now + for_s;
+        for worker in self.workers.values_mut().filter(|w| w.zone == zone) {
+            worker.hung_until = until;
+        }
+    }
+
+    /// Commands and answers to all machines are lost for a while; their heartbeats arrive.
+    pub fn block_traffic_to_workers(&mut self, for_s: f64) {
+        let until = self.now + for_s;
+        for worker in self.workers.values_mut() {
+            worker.inbound_blocked_until = until;
+        }
+    }
+
     /// No user comes to the leader.
     pub fn bypass_leader(&mut self, for_s: f64) -> bool {
         self.set_leader_fault(for_s, |world| &mut world.bypassed_until)
--- a/tests/world/kv_service.rs
+++ b/tests/world/kv_service.rs
@@ -92,6 +92,14 @@
             wait_ms,
         } = request
         {
+            if prefix == OPEN_PREFIX && self.now < self.watch_limited_until[i] {
+                self.counts.limited_watches += 1;
+                let limited = KvResponse::RateLimited;
+                let answer =
+                    SimEvent::KvResponseArrives(i, process_incarnation, correlation_id, limited);
+                self.after(0.003, answer);
+                return;
+            }
             if self.process_incarnations[i] == process_incarnation {
                 self.kv.watches.push(Watch {
                     controller: i,
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -123,6 +123,10 @@
     rejected_until: Vec<f64>,
     /// Controllers whose watch on the open jobs gets no answers, until then.
     watch_hangs_until: Vec<f64>,
+    /// Controllers whose watch on the open jobs is over the state service's rate limit, until then.
+    watch_limited_until: Vec<f64>,
+    /// Controllers that, after their pause, serve what has come meanwhile before their timers run.
+    timers_last: Vec<bool>,
     /// Controllers that the load balancer passes over, until then.
     bypassed_until: Vec<f64>,
     /// Listings get no answers until then.
@@ -203,6 +207,8 @@
             partition: None,
             rejected_until: vec![0.0; controllers],
             watch_hangs_until: vec![0.0; controllers],
+            watch_limited_until: vec![0.0; controllers],
+            timers_last: vec![false; controllers],
             bypassed_until: vec![0.0; controllers],
             listings_hang_until: 0.0,
             newest_txn: BTreeMap::new(),
@@ -276,11 +282,10 @@
 
     fn task_id(&mut self, what: SimEvent) {
         let now = self.clock();
-        if let Some(until) = World::destination(&what).map(|i| self.paused_until[i])
-            && self.now < until
+        if let Some(i) = World::destination(&what)
+            && self.now < self.paused_until[i]
         {
-            // It waits, in order; a microsecond longer, since times are rounded to whole ones.
-            self.at(until + 1e-6, what);
+            self.wait_for_pause(i, what);
             return;
         }
         match what {
@@ -462,6 +467,21 @@
         }
     }
 
+    /// What comes to a paused controller waits, in order; a microsecond longer, since times are rounded to whole
+    /// ones.
+    fn wait_for_pause(&mut self, i: usize, what: SimEvent) {
+        let is_timer = matches!(what, SimEvent::ControllerTicks(..));
+        let turns = if is_timer && self.timers_last[i] {
+            10.0
+        } else {
+            1.0
+        };
+        if self.timers_last[i] && matches!(what, SimEvent::WorkerHeartbeatArrives(..)) {
+            self.counts.heartbeats_before_timers += 1;
+        }
+        self.at(self.paused_until[i] + turns * 1e-6, what);
+    }
+
     fn request(&mut self, i: usize, back: SimEvent, method: &str, path: &str, body: &[u8]) {
         let now = self.clock();
         if self.controllers[i].is_none() {
