--- a/src/coordination/autoscaler.rs
+++ b/src/coordination/autoscaler.rs
@@ -4,7 +4,6 @@
 //! kept and what was changed.
 
 use crate::policy::Figures;
-use std::collections::VecDeque;
 
 /// A pool's load.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -162,57 +161,3 @@
         reason,
     }
 }
-
-/// Counts events over a sliding window.
-#[derive(Debug, Clone, Default)]
-pub struct RateMeter {
-    events: VecDeque<(f64, f64)>,
-}
-
-/// Events that a meter keeps.
-const MAX_EVENTS: usize = 4096;
-
-impl RateMeter {
-    /// Adds an event of some weight.
-    pub fn add(&mut self, weight: f64, now: f64) {
-        self.events.push_back((now, weight));
-        if self.events.len() > MAX_EVENTS {
-            self.events.pop_front();
-        }
-    }
-
-    /// Drops what is older than two windows.
-    pub fn trim(&mut self, window_s: f64, now: f64) {
-        while self
-            .events
-            .front()
-            .is_some_and(|(at, _)| now - at > 2.0 * window_s)
-        {
-            self.events.pop_front();
-        }
-    }
-
-    /// Events per second over the last window, or over the time since `from` if that is shorter.
-    pub fn rate(&self, window_s: f64, from: f64, now: f64) -> f64 {
-        let span = window_s.min(now - from).max(1.0);
-        self.sum(now - span, now) / span
-    }
-
-    /// The rate with its trend carried on by one window; never below half of the present rate.
-    pub fn forecast(&self, window_s: f64, from: f64, now: f64) -> f64 {
-        let rate = self.rate(window_s, from, now);
-        if now - from < 2.0 * window_s {
-            return rate;
-        }
-        let before = self.sum(now - 2.0 * window_s, now - window_s) / window_s;
-        (rate + (rate - before)).max(rate / 2.0)
-    }
-
-    fn sum(&self, from: f64, to: f64) -> f64 {
-        self.events
-            .iter()
-            .filter(|(at, _)| *at > from && *at <= to)
-            .map(|(_, weight)| weight)
-            .sum()
-    }
-}
--- a/src/coordination/job_api/mod.rs
+++ b/src/coordination/job_api/mod.rs
@@ -240,14 +240,16 @@
 
     /// Requests that wait to be sent, or for a lookup.
     fn waiting(&self) -> usize {
-        self.revision_checks.waiting() + self.writes.waiting() + self.lookups.waiting()
+        self.revision_checks.polls.len() + self.writes.queue.len() + self.lookups.waiting()
     }
 
     fn enqueue(&mut self, pending: PendingRequest) {
         match &pending.kind {
-            RequestKind::Poll => self.revision_checks.enqueue(pending),
-            RequestKind::Submit(_) => self.writes.enqueue(pending),
-            RequestKind::Cancel if self.open.contains(&pending.job) => self.writes.enqueue(pending),
+            RequestKind::Poll => self.revision_checks.polls.enqueue(pending),
+            RequestKind::Submit(_) => self.writes.queue.enqueue(pending),
+            RequestKind::Cancel if self.open.contains(&pending.job) => {
+                self.writes.queue.enqueue(pending);
+            }
             RequestKind::Cancel | RequestKind::SubmitUnsatisfiable(_) => {
                 self.lookups.enqueue(pending);
             }
@@ -276,8 +278,8 @@
     }
 
     fn expire_requests(&mut self, effects: &mut Effects, now: f64) {
-        let polls = self.revision_checks.take_expired(now);
-        let writes = self.writes.take_expired(now);
+        let polls = self.revision_checks.polls.take_expired(now);
+        let writes = self.writes.queue.take_expired(now);
         for pending in polls.into_iter().chain(writes) {
             respond_error(pending.request_id, RequestError::TimedOut, effects);
         }
@@ -296,7 +298,7 @@
             match BatchOutcome::of(&poll, &response) {
                 BatchOutcome::Committed { .. } => self.respond_to_poll(poll, effects),
                 BatchOutcome::Conflict => self.lookups.enqueue(poll),
-                BatchOutcome::NotApplied => self.revision_checks.enqueue(poll),
+                BatchOutcome::NotApplied => self.revision_checks.polls.enqueue(poll),
                 BatchOutcome::Unknown | BatchOutcome::Unavailable => {
                     let error = RequestError::StateServiceUnavailable;
                     respond_error(poll.request_id, error, effects);
@@ -322,7 +324,7 @@
                 BatchOutcome::Committed { mod_revision } => {
                     opened.extend(self.on_write_committed(pending, mod_revision, effects));
                 }
-                BatchOutcome::NotApplied => self.writes.enqueue(pending),
+                BatchOutcome::NotApplied => self.writes.queue.enqueue(pending),
                 // A write of unknown outcome may have been applied: the answer is what is there.
                 BatchOutcome::Conflict | BatchOutcome::Unknown => self.lookups.enqueue(pending),
                 BatchOutcome::Unavailable => {
@@ -460,7 +462,9 @@
                 effects.respond_job_status(request, 200, id, status);
             }
             (JobRecordState::Open(_), RequestKind::Cancel)
-            | (JobRecordState::NotFound, RequestKind::Submit(_)) => self.writes.enqueue(pending),
+            | (JobRecordState::NotFound, RequestKind::Submit(_)) => {
+                self.writes.queue.enqueue(pending);
+            }
             (JobRecordState::NotFound, RequestKind::SubmitUnsatisfiable(error)) => {
                 respond_error(request, RequestError::from(*error), effects);
             }
--- a/src/coordination/job_api/pending_request.rs
+++ b/src/coordination/job_api/pending_request.rs
@@ -33,13 +33,53 @@
     pub(super) written_state: Option<FinishedRecord>,
 }
 
-/// Removes the requests from a queue whose deadline has passed, and returns them in order.
-pub(super) fn take_expired(queue: &mut VecDeque<PendingRequest>, now: f64) -> Vec<PendingRequest> {
-    let expired = |pending: &PendingRequest| now >= pending.deadline;
-    if !queue.iter().any(expired) {
-        return Vec::new();
+/// Requests that wait to be sent to the state service, in order.
+#[derive(Debug, Default)]
+pub(super) struct RequestQueue {
+    requests: VecDeque<PendingRequest>,
+}
+
+impl RequestQueue {
+    /// Number of waiting requests.
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Adds a request behind all others.
+    pub(super) fn enqueue(&mut self, pending: PendingRequest) {
+        self.requests.push_back(pending);
+    }
+
+    /// Removes the first request.
+    pub(super) fn pop(&mut self) -> Option<PendingRequest> {
+        self.requests.pop_front()
+    }
+
+    /// Removes the first requests, as many as there are up to a number.
+    pub(super) fn take_first(&mut self, max: usize) -> Vec<PendingRequest> {
+        let count = self.requests.len().min(max);
+        self.requests.drain(..count).collect()
+    }
+
+    /// Puts requests back before all others, in their order.
+    pub(super) fn put_back(&mut self, requests: Vec<PendingRequest>) {
+        for pending in requests.into_iter().rev() {
+            self.requests.push_front(pending);
+        }
+    }
+
+    /// Removes the requests whose deadline has passed, and returns them in order.
+    pub(super) fn take_expired(&mut self, now: f64) -> Vec<PendingRequest> {
+        let expired = |pending: &PendingRequest| now >= pending.deadline;
+        if !self.requests.iter().any(expired) {
+            return Vec::new();
+        }
+        let (late, waiting): (Vec<_>, Vec<_>) = self.requests.drain(..).partition(expired);
+        self.requests.extend(waiting);
+        late
     }
-    let (late, waiting): (Vec<_>, Vec<_>) = queue.drain(..).partition(expired);
-    queue.extend(waiting);
-    late
 }
--- a/src/coordination/job_api/revision_checks.rs
+++ b/src/coordination/job_api/revision_checks.rs
@@ -2,13 +2,13 @@
 
 use super::batches::InFlightBatches;
 use super::open_jobs::OpenJobs;
-use super::pending_request::{self, PendingRequest};
+use super::pending_request::{PendingRequest, RequestQueue};
 use crate::bookkeeping::rate_limit::TokenBucket;
 use crate::bookkeeping::records;
 use crate::coordination::effects::{Effects, KvRequestKind};
 use crate::protocol::kv::{COMPARES_PER_WRITE, Compare, KvRequest, Txn};
 use crate::settings::StateLimits;
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 
 /// Share of a controller's requests for revision checks, which answer many polls each; the rest is for
 /// lookups.
@@ -17,7 +17,8 @@
 /// Polls that wait for a revision check or for the response to one.
 #[derive(Debug)]
 pub(super) struct RevisionChecks {
-    polls: VecDeque<PendingRequest>,
+    /// Polls that wait for the next check.
+    pub(super) polls: RequestQueue,
     in_flight: InFlightBatches,
     /// Polls that one check may answer.
     max_polls: usize,
@@ -31,7 +32,7 @@
     /// No polls yet; `share` is this controller's share of the state service's limits.
     pub(super) fn new(limits: &StateLimits, share: f64) -> RevisionChecks {
         RevisionChecks {
-            polls: VecDeque::new(),
+            polls: RequestQueue::default(),
             in_flight: InFlightBatches::default(),
             // A job that is not known to be open takes two comparisons.
             max_polls: COMPARES_PER_WRITE * limits.txn_ops / 2,
@@ -40,20 +41,6 @@
         }
     }
 
-    /// Polls that wait for the next check.
-    pub(super) fn waiting(&self) -> usize {
-        self.polls.len()
-    }
-
-    pub(super) fn enqueue(&mut self, poll: PendingRequest) {
-        self.polls.push_back(poll);
-    }
-
-    /// Removes the polls whose deadline has passed.
-    pub(super) fn take_expired(&mut self, now: f64) -> Vec<PendingRequest> {
-        pending_request::take_expired(&mut self.polls, now)
-    }
-
     /// Sends the next check, if one is due and the budget of requests allows it.
     pub(super) fn send_due(
         &mut self,
@@ -71,8 +58,7 @@
             return;
         }
         self.next_check_at = now + self.check_interval_s;
-        let count = self.polls.len().min(self.max_polls);
-        let mut batch: Vec<PendingRequest> = self.polls.drain(..count).collect();
+        let mut batch = self.polls.take_first(self.max_polls);
         for poll in &mut batch {
             poll.checked_as_open = open.contains(&poll.job);
         }
--- a/src/coordination/job_api/writes.rs
+++ b/src/coordination/job_api/writes.rs
@@ -3,12 +3,11 @@
 use super::batches::InFlightBatches;
 use super::burst_of;
 use super::open_jobs::OpenJobs;
-use super::pending_request::{self, PendingRequest, RequestKind};
+use super::pending_request::{PendingRequest, RequestKind, RequestQueue};
 use crate::bookkeeping::rate_limit::TokenBucket;
 use crate::bookkeeping::records::{self, FinishedRecord, JobOutcome};
 use crate::coordination::effects::{Effects, KvRequestKind};
 use crate::protocol::kv::{Compare, KvRequest, MAX_TXN_BYTES, Txn, WriteOp};
-use std::collections::VecDeque;
 
 /// Bytes of writes in one transaction, unless its only request needs more.
 const MAX_BATCH_BYTES: usize = MAX_TXN_BYTES / 2;
@@ -16,7 +15,8 @@
 /// Requests that wait to be written, or for the response to the transaction that writes them.
 #[derive(Debug)]
 pub(super) struct JobWrites {
-    queue: VecDeque<PendingRequest>,
+    /// Requests that wait to be written.
+    pub(super) queue: RequestQueue,
     in_flight: InFlightBatches,
     /// Write operations that this controller may make.
     budget: TokenBucket,
@@ -47,7 +47,7 @@
     /// Nothing to write yet; `budget` holds the write operations that this controller may make.
     pub(super) fn new(budget: TokenBucket, max_txn_ops: usize) -> JobWrites {
         JobWrites {
-            queue: VecDeque::new(),
+            queue: RequestQueue::default(),
             in_flight: InFlightBatches::default(),
             budget,
             max_txn_ops,
@@ -55,20 +55,6 @@
         }
     }
 
-    /// Requests that wait to be written.
-    pub(super) fn waiting(&self) -> usize {
-        self.queue.len()
-    }
-
-    pub(super) fn enqueue(&mut self, pending: PendingRequest) {
-        self.queue.push_back(pending);
-    }
-
-    /// Removes the requests whose deadline has passed.
-    pub(super) fn take_expired(&mut self, now: f64) -> Vec<PendingRequest> {
-        pending_request::take_expired(&mut self.queue, now)
-    }
-
     /// Sets the write operations a second that this controller may make.
     pub(super) fn set_rate(&mut self, per_s: f64, now: f64) {
         self.budget.set_rate(per_s, burst_of(per_s), now);
@@ -115,7 +101,7 @@
     ) -> BatchDraft {
         let mut draft = BatchDraft::default();
         let mut postponed = Vec::new();
-        while let Some(pending) = self.queue.pop_front() {
+        while let Some(pending) = self.queue.pop() {
             if draft.contains_job(&pending.job) {
                 postponed.push(pending);
                 continue;
@@ -130,9 +116,7 @@
             }
             draft.add(pending, writes);
         }
-        for pending in postponed.into_iter().rev() {
-            self.queue.push_front(pending);
-        }
+        self.queue.put_back(postponed);
         draft
     }
 
--- a/src/coordination/leader/fleet/pool.rs
+++ b/src/coordination/leader/fleet/pool.rs
@@ -2,7 +2,8 @@
 
 use super::Fleet;
 use crate::bookkeeping::workers::Worker;
-use crate::coordination::autoscaler::{RateMeter, ScalingDecision};
+use crate::coordination::autoscaler::ScalingDecision;
+use crate::coordination::rate_meter::RateMeter;
 use crate::protocol::cloud::MAX_INSTANCES_PER_CREATE;
 
 /// Weight of the latest value in running averages.
--- a/src/coordination/leader/recovery.rs
+++ b/src/coordination/leader/recovery.rs
@@ -5,7 +5,9 @@
 use super::heartbeats::HeartbeatPath;
 use crate::bookkeeping::jobs::ClosedJobs;
 use crate::bookkeeping::records::{self, ProvisioningRecord};
-use crate::bookkeeping::wal::{Segment, decode_chunk};
+use crate::bookkeeping::wal::{
+    BindingEntry, CompletedEntry, EndedBindingEntry, Segment, decode_chunk,
+};
 use crate::bookkeeping::workers::{Binding, Worker};
 use crate::coordination::effects::{Effects, KvRequestKind};
 use crate::protocol::cbor;
@@ -300,48 +302,13 @@
         }
     }
 
-    /// Replays what a segment of the log says about tasks.
+    /// Replays what a segment of the log says about tasks, in the order in which the log records it.
     fn replay_bindings(&mut self, segment: &Segment) {
-        let task = |job: u32, index: u32| {
-            let job = segment.job(job)?.id.clone();
-            Some(TaskId { job, index })
-        };
         for entry in &segment.bindings {
-            let (Some(name), Some(job)) =
-                (segment.worker_name(entry.worker), segment.job(entry.job))
-            else {
-                continue;
-            };
-            let (Some(worker), Some(task)) =
-                (self.workers.get_mut(name), task(entry.job, entry.index))
-            else {
-                continue;
-            };
-            let binding = Binding {
-                attempt: entry.attempt,
-                incarnation: entry.incarnation,
-                request: job.request(),
-                team: job.team.clone(),
-                durable: true,
-                inherited: true,
-                unbinding: false,
-                eviction: None,
-                running_since: None,
-            };
-            worker.bindings.insert(task, binding);
+            self.replay_binding(segment, entry);
         }
         for entry in &segment.ended_bindings {
-            let worker = segment
-                .worker_name(entry.worker)
-                .and_then(|name| self.workers.get_mut(name));
-            if let (Some(worker), Some(task)) = (worker, task(entry.job, entry.index))
-                && worker
-                    .bindings
-                    .get(&task)
-                    .is_some_and(|binding| binding.attempt == entry.attempt)
-            {
-                worker.bindings.remove(&task);
-            }
+            self.replay_ended_binding(segment, entry);
         }
         for number in &segment.removed_workers {
             if let Some(name) = segment.worker_name(*number) {
@@ -349,13 +316,59 @@
             }
         }
         for entry in &segment.completed {
-            let job = segment
-                .job(entry.job)
-                .and_then(|job| self.jobs.get_mut(&job.id));
-            if let Some(job) = job {
-                for index in decode_chunk(entry.chunk, &entry.bitmap) {
-                    job.complete(index);
-                }
+            self.replay_completed_tasks(segment, entry);
+        }
+    }
+
+    fn replay_binding(&mut self, segment: &Segment, entry: &BindingEntry) {
+        let worker = segment
+            .worker_name(entry.worker)
+            .and_then(|name| self.workers.get_mut(name));
+        let (Some(worker), Some(job)) = (worker, segment.job(entry.job)) else {
+            return;
+        };
+        let binding = Binding {
+            attempt: entry.attempt,
+            incarnation: entry.incarnation,
+            request: job.request(),
+            team: job.team.clone(),
+            durable: true,
+            inherited: true,
+            unbinding: false,
+            eviction: None,
+            running_since: None,
+        };
+        let task = TaskId {
+            job: job.id.clone(),
+            index: entry.index,
+        };
+        worker.bindings.insert(task, binding);
+    }
+
+    fn replay_ended_binding(&mut self, segment: &Segment, entry: &EndedBindingEntry) {
+        let worker = segment
+            .worker_name(entry.worker)
+            .and_then(|name| self.workers.get_mut(name));
+        let (Some(worker), Some(job)) = (worker, segment.job(entry.job)) else {
+            return;
+        };
+        let task = TaskId {
+            job: job.id.clone(),
+            index: entry.index,
+        };
+        let bound = worker.bindings.get(&task);
+        if bound.is_some_and(|binding| binding.attempt == entry.attempt) {
+            worker.bindings.remove(&task);
+        }
+    }
+
+    fn replay_completed_tasks(&mut self, segment: &Segment, entry: &CompletedEntry) {
+        let job = segment
+            .job(entry.job)
+            .and_then(|job| self.jobs.get_mut(&job.id));
+        if let Some(job) = job {
+            for index in decode_chunk(entry.chunk, &entry.bitmap) {
+                job.complete(index);
             }
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 pub mod job_api;
 pub mod leader;
 pub mod peers;
+pub mod rate_meter;
 pub mod routes;
 pub mod scheduler;
 pub mod terminations;
--- a/tests/autoscaler.rs
+++ b/tests/autoscaler.rs
@@ -1,8 +1,7 @@
 //! The scaling arithmetic, as a table.
 
-use cedarladder::coordination::autoscaler::{
-    PoolLoad, RateMeter, ScalingDecision, TargetReason, decide,
-};
+use cedarladder::coordination::autoscaler::{PoolLoad, ScalingDecision, TargetReason, decide};
+use cedarladder::coordination::rate_meter::RateMeter;
 use cedarladder::policy::Figures;
 
 fn figures() -> Figures {
