--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -3,7 +3,8 @@
 //! `Leader` holds the tables of jobs, workers and quotas for one epoch and wires the components
 //! that own the rest of its state:
 //!
-//! - `recovery`: the read of all records after the election, and what arrives meanwhile
+//! - `recovery`: the read of all records after the election, and what arrives meanwhile; `replay`: the tables
+//!   rebuilt from the write-ahead log
 //! - `commit`: the write-ahead log and its transactions on the state service
 //! - `leases`: leases of workers, and those that an earlier leader may have renewed
 //! - `heartbeats`: what workers report, and the commands that answer them
@@ -31,6 +32,7 @@
 mod jobs;
 mod leases;
 mod recovery;
+mod replay;
 mod scaling;
 mod scheduling;
 
--- /dev/null
+++ b/src/coordination/leader/replay.rs
@@ -0,0 +1,142 @@
+//! Replay: the tables of workers and bindings, rebuilt from the write-ahead log during recovery.
+
+use super::Leader;
+use super::recovery::RecoveredSegment;
+use crate::bookkeeping::wal::{
+    BindingEntry, CompletedEntry, EndedBindingEntry, Segment, decode_chunk,
+};
+use crate::bookkeeping::workers::{Binding, Worker};
+use crate::protocol::worker::TaskId;
+
+impl Leader {
+    /// Replays the log's segments, in the log's order.
+    pub(super) fn replay_log(&mut self, segments: &[RecoveredSegment], now: f64) {
+        // A worker may be described in a later segment than its bindings.
+        for recovered in segments {
+            self.replay_workers(&recovered.segment, now);
+        }
+        for recovered in segments {
+            self.commits
+                .replay_segment(&recovered.key, recovered.mod_revision, &recovered.segment);
+            self.replay_bindings(&recovered.segment);
+        }
+    }
+
+    /// Replays what a segment of the log says about workers.
+    fn replay_workers(&mut self, segment: &Segment, now: f64) {
+        // An earlier leader may have answered heartbeats until its lease grace period ended.
+        let lease_from = self.leases.previous_leader_deadline();
+        for entry in &segment.workers {
+            let Some(name) = segment.worker_name(entry.worker) else {
+                continue;
+            };
+            let worker = self.workers.entry(name, || {
+                let mut worker =
+                    Worker::new(name, &entry.instance_type, &entry.zone, entry.spot, now);
+                worker.lease_renewed_at = lease_from;
+                worker
+            });
+            worker.endpoint.clone_from(&entry.endpoint);
+            worker.terminating |= entry.terminating;
+            worker.termination_recorded |= entry.terminating;
+        }
+    }
+
+    /// Replays what a segment of the log says about tasks, in the order in which the log records it.
+    fn replay_bindings(&mut self, segment: &Segment) {
+        for entry in &segment.bindings {
+            self.replay_binding(segment, entry);
+        }
+        for entry in &segment.ended_bindings {
+            self.replay_ended_binding(segment, entry);
+        }
+        for number in &segment.removed_workers {
+            if let Some(name) = segment.worker_name(*number) {
+                self.workers.remove(name);
+            }
+        }
+        for entry in &segment.completed {
+            self.replay_completed_tasks(segment, entry);
+        }
+    }
+
+    fn replay_binding(&mut self, segment: &Segment, entry: &BindingEntry) {
+        let worker = segment
+            .worker_name(entry.worker)
+            .and_then(|name| self.workers.get_mut(name));
+        let (Some(worker), Some(job)) = (worker, segment.job(entry.job)) else {
+            return;
+        };
+        let binding = Binding {
+            attempt: entry.attempt,
+            incarnation: entry.incarnation,
+            request: job.request(),
+            team: job.team.clone(),
+            durable: true,
+            inherited: true,
+            unbinding: false,
+            eviction: None,
+            running_since: None,
+        };
+        let task = TaskId {
+            job: job.id.clone(),
+            index: entry.index,
+        };
+        worker.bindings.insert(task, binding);
+    }
+
+    fn replay_ended_binding(&mut self, segment: &Segment, entry: &EndedBindingEntry) {
+        let worker = segment
+            .worker_name(entry.worker)
+            .and_then(|name| self.workers.get_mut(name));
+        let (Some(worker), Some(job)) = (worker, segment.job(entry.job)) else {
+            return;
+        };
+        let task = TaskId {
+            job: job.id.clone(),
+            index: entry.index,
+        };
+        let bound = worker.bindings.get(&task);
+        if bound.is_some_and(|binding| binding.attempt == entry.attempt) {
+            worker.bindings.remove(&task);
+        }
+    }
+
+    fn replay_completed_tasks(&mut self, segment: &Segment, entry: &CompletedEntry) {
+        let job = segment
+            .job(entry.job)
+            .and_then(|job| self.jobs.get_mut(&job.id));
+        if let Some(job) = job {
+            for index in decode_chunk(entry.chunk, &entry.bitmap) {
+                job.complete(index);
+            }
+        }
+    }
+
+    /// Charges the replayed bindings to jobs and quotas.
+    pub(super) fn charge_inherited_bindings(&mut self) {
+        for worker in self.workers.iter() {
+            for (task, binding) in &worker.bindings {
+                let need = binding.request;
+                self.quotas.charge(&binding.team, need.cpus, need.gpus);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.bind(task.index, &worker.name, &worker.zone);
+                }
+            }
+            self.dispatcher.mark_due(&worker.name);
+        }
+    }
+
+    /// Finishes jobs whose last task is recorded as completed, but whose end is not.
+    pub(super) fn finish_completed_jobs(&mut self) {
+        let complete: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|job| job.is_complete() && !job.finishing)
+            .map(|job| job.spec.id.clone())
+            .collect();
+        for id in complete {
+            self.finish_job(&id);
+        }
+    }
+}
