--- a/src/bookkeeping/jobs/closed_jobs.rs
+++ b/src/bookkeeping/jobs/closed_jobs.rs
@@ -6,8 +6,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
-/// Closed jobs that are remembered. The ones learnt first are forgotten: their records are then older than 20,000 ends
-/// of other jobs, and no call takes that long.
+/// Closed jobs that are remembered; the ones learnt first are forgotten. Should a record still arrive that is older
+/// than so many ends, the job counts as open until its first transaction fails.
 const MAX_CLOSED_JOBS: usize = 20_000;
 
 /// The jobs that were learnt last to be closed.
--- a/src/coordination/controller/open_jobs.rs
+++ b/src/coordination/controller/open_jobs.rs
@@ -92,10 +92,11 @@
             }
         };
         // The record may be older than the job's end: the job API knows of every end.
-        if self.job_api.on_job_opened(item.mod_revision, spec.clone())
+        if self.job_api.on_job_opened(item.mod_revision, spec)
             && let Some(leader) = &mut self.leader
+            && let Some(job) = self.job_api.open_jobs().get(id)
         {
-            leader.on_job_opened(item.mod_revision, &spec, now.monotonic, now.wall);
+            leader.on_job_opened(job.mod_revision, &job.spec, now.monotonic, now.wall);
         }
     }
 
