A rejection is followed by the next call at once only if the machine is in the incarnation called

Callers saw: nothing; a leader called a machine that had restarted and forgotten its incarnations twenty times a second, for as long as tasks were bound there in a later one.

Cause: a rejection was taken to have shown the incarnation for the next call, which then did not wait for the usual half heartbeat interval. A machine that shows an earlier incarnation than it was called for will reject the next call too, so that one waits.

--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -1,5 +1,6 @@
 //! Direct commands to workers: probes of late workers, and commands that cannot wait for a heartbeat.
 
+use super::fencing::target_incarnation;
 use super::heartbeats::{HeartbeatPath, MAX_COMMANDS};
 use super::{Leader, LeaderEvent};
 use crate::bookkeeping::permits::ViewFreshness;
@@ -308,8 +309,12 @@
         let heartbeat = match response {
             WorkerResponse::Executed(heartbeat) => heartbeat,
             WorkerResponse::Rejected(heartbeat) => {
-                // Its incarnation is known now: the next call can follow at once.
-                self.dispatcher.forget_last_dispatch(&kind.worker);
+                let called = self.workers.get(&kind.worker).map(target_incarnation);
+                if called.is_some_and(|incarnation| heartbeat.incarnation >= incarnation) {
+                    // Its incarnation is known now: the next call can follow at once. A machine that shows
+                    // an earlier one has forgotten it, and would reject the next call too.
+                    self.dispatcher.forget_last_dispatch(&kind.worker);
+                }
                 heartbeat
             }
             WorkerResponse::NotSent
--- a/src/coordination/leader/fencing.rs
+++ b/src/coordination/leader/fencing.rs
@@ -72,7 +72,7 @@
 }
 
 /// The incarnation that the commands of a direct call are for.
-fn target_incarnation(worker: &Worker) -> u64 {
+pub(super) fn target_incarnation(worker: &Worker) -> u64 {
     let bound = worker.bindings.values().map(|binding| binding.incarnation);
     worker.incarnation.max(bound.max().unwrap_or(1)).max(1)
 }
