Tests: nothing unused in the stand-ins of a scene, one set-up for a follower

Found by reading the change once more: held lookups and recorded reads had no user, and three cases of older_knowledge began with the same lines. Assertions stay as they are.

--- a/tests/older_knowledge.rs
+++ b/tests/older_knowledge.rs
@@ -102,13 +102,19 @@
     }
 }
 
-#[test]
-fn the_counts_of_a_deposed_leader_are_not_shown() {
+/// A controller that follows another, with a job that was submitted to it.
+fn follower_with_job(tasks: u32) -> Scene {
     let mut scene = Scene::default();
     scene.led_elsewhere();
     scene.run(1.0);
-    let submission = scene.submit(ID, 4);
+    let submission = scene.submit(ID, tasks);
     scene.run_until("the submission", |scene| scene.answer(submission).is_some());
+    scene
+}
+
+#[test]
+fn the_counts_of_a_deposed_leader_are_not_shown() {
+    let mut scene = follower_with_job(4);
     let counts = |done, running| JobCounts {
         job: ID.to_owned(),
         done,
@@ -130,11 +136,7 @@
 /// The watch shows the end of the job before the response to its cancellation arrives.
 #[test]
 fn a_cancelled_job_is_shown_with_the_count_that_was_written() {
-    let mut scene = Scene::default();
-    scene.led_elsewhere();
-    scene.run(1.0);
-    let submission = scene.submit(ID, 4);
-    scene.run_until("the submission", |scene| scene.answer(submission).is_some());
+    let mut scene = follower_with_job(4);
     let mut of_leader = peer_heartbeat("n1", 30);
     of_leader.counts.push(JobCounts {
         job: ID.to_owned(),
@@ -153,11 +155,7 @@
 
 #[test]
 fn a_final_state_never_changes() {
-    let mut scene = Scene::default();
-    scene.led_elsewhere();
-    scene.run(1.0);
-    let submission = scene.submit(ID, 1);
-    scene.run_until("the submission", |scene| scene.answer(submission).is_some());
+    let mut scene = follower_with_job(1);
     let cancellation = scene.cancel(ID);
     scene.run_until("the cancellation", |scene| {
         scene.answer(cancellation).is_some()
--- a/tests/scene/mod.rs
+++ b/tests/scene/mod.rs
@@ -52,8 +52,6 @@
     LeaderWatches,
     /// Transactions that open jobs.
     Submissions,
-    /// Reads of `open/` keys.
-    Lookups,
     /// Transactions that cancel jobs.
     Cancellations,
     /// Puts of the instance types: they are not carried out, and have no usable response.
@@ -90,8 +88,6 @@
     pub instances_requested: u32,
     /// Commands to the worker.
     pub commands: Vec<Command>,
-    /// Reads of keys.
-    pub reads: Vec<String>,
     /// Direct calls that reached the worker.
     pub worker_calls: u32,
 }
@@ -626,10 +622,7 @@
 
     fn respond(&mut self, request: &KvRequest) -> KvResponse {
         match request {
-            KvRequest::Get(key) => {
-                self.sent.reads.push(key.clone());
-                self.store.get(key)
-            }
+            KvRequest::Get(key) => self.store.get(key),
             KvRequest::List { prefix, after } => {
                 self.store.list(prefix, after.as_deref(), PAGE_SIZE)
             }
@@ -650,7 +643,6 @@
             KvRequest::Txn(txn) if txn.writes.iter().any(is_submission) => Held::Submissions,
             KvRequest::Txn(txn) if is_cancellation(txn) => Held::Cancellations,
             KvRequest::Txn(txn) if txn.writes.iter().any(is_catalog) => Held::Catalog,
-            KvRequest::Get(key) if key.starts_with(records::OPEN_PREFIX) => Held::Lookups,
             _ => return None,
         };
         self.holds.contains(&held).then_some(held)
