--- /dev/null
+++ b/tests/scene/mod.rs
@@ -0,0 +1,613 @@
+//! One controller amid stand-ins that answer when a test says so: a state service whose responses can be held back, a
+//! cloud without instances to rent, and a single worker.
+
+#![allow(dead_code)]
+
+#[path = "../standins/kv_store.rs"]
+pub mod kv_store;
+
+use cedarladder::bookkeeping::records::{self, FinishedRecord, JobOutcome};
+use cedarladder::coordination::controller::{Controller, Now};
+use cedarladder::coordination::effects::{CorrelationId, Effect};
+use cedarladder::policy::Policy;
+use cedarladder::protocol::cbor;
+use cedarladder::protocol::cloud::{CloudRequest, CloudResponse, Instance, InstanceStatus};
+use cedarladder::protocol::job::{JobKind, JobSpec, JobView};
+use cedarladder::protocol::kv::{Compare, KvRequest, KvResponse, Txn, WriteOp};
+use cedarladder::protocol::peer::{JobCounts, PeerHeartbeat, Termination, TerminationLog};
+use cedarladder::protocol::token::FencingToken;
+use cedarladder::protocol::worker::{
+    Command, CommandBatch, CommandKind, ExitReason, TaskId, TaskState, TaskStatus, WorkerHeartbeat,
+    WorkerRequest, WorkerResponse,
+};
+use cedarladder::settings::Settings;
+use ciborium::Value;
+use kv_store::KvStore;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const SETTINGS: &str = include_str!("../world/settings.toml");
+const WALL: f64 = 1_700_000_000.0;
+/// How often the controller ticks.
+const TICK_S: f64 = 0.05;
+/// How often the worker sends a heartbeat.
+const HEARTBEAT_S: f64 = 0.5;
+/// Keys in a page of a listing: each job has a page of its own.
+const PAGE_SIZE: usize = 1;
+/// Changes that the state service keeps for watches.
+const MAX_CHANGES: usize = 10_000;
+const WORKER: &str = "host-000001";
+const PEER: &str = "n1";
+
+/// Which requests to the state service wait for their responses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// Pages of the listing of open jobs after the first.
+    LaterPages,
+    /// Watches on the open jobs.
+    Watches,
+    /// Transactions that open jobs.
+    Submissions,
+    /// Reads of this job's `open/` key.
+    Lookups,
+}
+
+#[derive(Debug)]
+struct WaitingWatch {
+    correlation_id: CorrelationId,
+    prefix: String,
+    after: u64,
+    until: f64,
+}
+
+/// The worker as it is.
+#[derive(Debug)]
+struct Worker {
+    sequence: u64,
+    token: FencingToken,
+    tasks: BTreeMap<(String, u64), TaskStatus>,
+    heartbeat_at: f64,
+    is_up: bool,
+}
+
+/// What left the controller since [`Scene::forget`].
+#[derive(Debug, Default)]
+pub struct Sent {
+    /// Transactions, with whether they were committed.
+    pub transactions: Vec<(Txn, bool)>,
+    /// Instances that were asked for.
+    pub instances_requested: u32,
+    /// Commands to the worker.
+    pub commands: Vec<Command>,
+    /// Reads of keys.
+    pub reads: Vec<String>,
+}
+
+pub struct Scene {
+    pub now: f64,
+    pub store: KvStore,
+    pub sent: Sent,
+    /// Counts of the latest heartbeat to the peers.
+    pub counts: Vec<JobCounts>,
+    /// Whether the state service says once that the revision to watch from is compacted.
+    pub compacts: bool,
+    controller: Controller,
+    holds: Vec<Held>,
+    held: Vec<(Held, CorrelationId, KvResponse)>,
+    watches: Vec<WaitingWatch>,
+    worker: Worker,
+    worker_request: Option<u64>,
+    last_request: u64,
+    answers: BTreeMap<u64, (u16, Vec<u8>)>,
+}
+
+impl Default for Scene {
+    fn default() -> Scene {
+        let settings = Settings::parse(SETTINGS).expect("settings");
+        let policy = Policy::built_in(&settings);
+        Scene {
+            now: 0.0,
+            store: KvStore::new(MAX_CHANGES),
+            sent: Sent::default(),
+            counts: Vec::new(),
+            compacts: false,
+            controller: Controller::new(Rc::new(settings), Rc::new(policy), 1),
+            holds: Vec::new(),
+            held: Vec::new(),
+            watches: Vec::new(),
+            worker: Worker {
+                sequence: 0,
+                token: FencingToken::default(),
+                tasks: BTreeMap::new(),
+                heartbeat_at: 0.0,
+                is_up: true,
+            },
+            worker_request: None,
+            last_request: 0,
+            answers: BTreeMap::new(),
+        }
+    }
+}
+
+impl Scene {
+    fn clock(&self) -> Now {
+        Now {
+            monotonic: self.now,
+            wall: WALL + self.now,
+        }
+    }
+
+    /// Lets `for_s` seconds pass.
+    pub fn run(&mut self, for_s: f64) {
+        let until = self.now + for_s;
+        while self.now + TICK_S / 2.0 < until {
+            self.now += TICK_S;
+            if self.worker.is_up && self.now >= self.worker.heartbeat_at {
+                self.worker_heartbeat();
+            }
+            let now = self.clock();
+            self.controller.tick(now);
+            self.settle();
+        }
+    }
+
+    /// Lets time pass until something holds, for ten seconds at most.
+    pub fn run_until(&mut self, what: &str, holds: impl Fn(&Scene) -> bool) {
+        for _ in 0..200 {
+            if holds(self) {
+                return;
+            }
+            self.run(TICK_S);
+        }
+        panic!("{what}: not within ten seconds");
+    }
+
+    /// From now on the responses to these requests are held back.
+    pub fn hold(&mut self, held: Held) {
+        self.holds.push(held);
+    }
+
+    pub fn is_holding(&self, held: Held) -> bool {
+        self.held.iter().any(|(kind, ..)| *kind == held)
+    }
+
+    /// The held responses arrive, and no others are held any more.
+    pub fn release(&mut self, held: Held) {
+        self.holds.retain(|kind| *kind != held);
+        let (arriving, held) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|(kind, ..)| *kind == held);
+        self.held = held;
+        for (_, correlation_id, response) in arriving {
+            let now = self.clock();
+            self.controller
+                .on_kv_response(correlation_id, response, now);
+        }
+        self.settle();
+    }
+
+    /// Forgets what was sent until now.
+    pub fn forget(&mut self) {
+        self.sent = Sent::default();
+    }
+
+    pub fn leads(&self) -> bool {
+        self.controller.is_leader()
+    }
+
+    // ---- users
+
+    /// A user's request; the number names its answer.
+    pub fn request(&mut self, method: &str, path: &str, body: &[u8]) -> u64 {
+        self.last_request += 1;
+        let now = self.clock();
+        self.controller
+            .on_request(self.last_request, method, path, body, now);
+        let request = self.last_request;
+        self.settle();
+        request
+    }
+
+    pub fn submit(&mut self, id: &str, tasks: u32) -> u64 {
+        self.request("POST", "/work", &submission(id, tasks, "normal"))
+    }
+
+    pub fn submit_urgent(&mut self, id: &str, tasks: u32) -> u64 {
+        self.request("POST", "/work", &submission(id, tasks, "urgent"))
+    }
+
+    pub fn cancel(&mut self, id: &str) -> u64 {
+        self.request("POST", &format!("/work/{id}/cancel"), &[])
+    }
+
+    pub fn poll(&mut self, id: &str) -> u64 {
+        self.request("GET", &format!("/work/{id}"), &[])
+    }
+
+    /// The status and the body of an answer.
+    pub fn answer(&self, request: u64) -> Option<(u16, String)> {
+        let (status, body) = self.answers.get(&request)?;
+        let body: Value = cbor::decode(body).expect("an answer");
+        Some((*status, format!("{body:?}")))
+    }
+
+    /// What a poll is told now.
+    pub fn view(&mut self, id: &str) -> JobView {
+        let request = self.poll(id);
+        self.run_until("an answer", |scene| scene.answers.contains_key(&request));
+        let (status, body) = &self.answers[&request];
+        assert_eq!(*status, 200, "{id}");
+        cbor::decode(body).expect("a view")
+    }
+
+    // ---- other controllers
+
+    /// Another controller cancels a job in the state service.
+    pub fn cancel_elsewhere(&mut self, id: &str) {
+        let open_key = records::open_key(id);
+        let KvResponse::Value(item) = self.store.get(&open_key) else {
+            panic!("{id} is not open");
+        };
+        let aborted = FinishedRecord {
+            outcome: JobOutcome::Aborted,
+            completed_tasks: 0,
+        };
+        let txn = Txn {
+            compares: vec![Compare::new(open_key.clone(), item.mod_revision)],
+            writes: vec![
+                WriteOp::delete(open_key),
+                WriteOp::put(records::finished_key(id), &aborted),
+            ],
+        };
+        let response = self.store.transact(&txn);
+        assert!(matches!(response, KvResponse::Committed(_)));
+        self.answer_watches();
+    }
+
+    /// A peer's heartbeat says that a job was cancelled.
+    pub fn told_by_peer(&mut self, id: &str) {
+        let termination = Termination {
+            job: id.to_owned(),
+            aborted: true,
+            done: 0,
+        };
+        let heartbeat = PeerHeartbeat {
+            label: PEER.to_owned(),
+            epoch: 0,
+            leader: None,
+            state_service_ok: true,
+            redirected_workers: 0,
+            counts: Vec::new(),
+            crash_looping_jobs: Vec::new(),
+            changes_per_s: 0.0,
+            terminations: TerminationLog {
+                process_incarnation: 1,
+                first_sequence: 0,
+                entries: vec![termination],
+                acks: Vec::new(),
+            },
+        };
+        let now = self.clock();
+        self.controller.on_peer_heartbeat(heartbeat, now);
+        self.settle();
+    }
+
+    // ---- the worker
+
+    /// Tasks of a job that run on the worker.
+    pub fn running(&self, job: &str) -> usize {
+        let tasks = self.worker.tasks.values();
+        tasks
+            .filter(|status| status.state == TaskState::Running)
+            .filter(|status| TaskId::parse(&status.task).is_ok_and(|task| task.job == job))
+            .count()
+    }
+
+    /// All running tasks of a job exit.
+    pub fn exit(&mut self, job: &str, reason: ExitReason) {
+        for status in self.worker.tasks.values_mut() {
+            let is_of_job = TaskId::parse(&status.task).is_ok_and(|task| task.job == job);
+            if is_of_job && status.state == TaskState::Running {
+                status.state = TaskState::Exited;
+                status.exit_reason = Some(reason);
+            }
+        }
+    }
+
+    /// From now on the worker sends no heartbeats and answers no calls.
+    pub fn silence_worker(&mut self) {
+        self.worker.is_up = false;
+    }
+
+    /// The worker is back.
+    pub fn wake_worker(&mut self) {
+        self.worker.is_up = true;
+        self.worker_heartbeat();
+    }
+
+    /// The worker sends a heartbeat now.
+    pub fn worker_heartbeat(&mut self) {
+        self.worker.heartbeat_at = self.now + HEARTBEAT_S;
+        let heartbeat = self.next_heartbeat();
+        self.last_request += 1;
+        self.worker_request = Some(self.last_request);
+        let body = cbor::encode(&heartbeat);
+        let now = self.clock();
+        self.controller
+            .on_request(self.last_request, "POST", "/v1/report", &body, now);
+        self.settle();
+    }
+
+    fn next_heartbeat(&mut self) -> WorkerHeartbeat {
+        self.worker.sequence += 1;
+        WorkerHeartbeat {
+            worker: WORKER.to_owned(),
+            endpoint: "10.1.0.1:9000".to_owned(),
+            instance_type: "f".to_owned(),
+            zone: "a".to_owned(),
+            spot: false,
+            incarnation: 1,
+            sequence: self.worker.sequence,
+            token: self.worker.token,
+            reclaim_in_s: None,
+            tasks: self.worker.tasks.values().cloned().collect(),
+        }
+    }
+
+    /// Carries out commands. A stopped task exits at once.
+    fn execute(&mut self, batch: &CommandBatch) {
+        if batch.token < self.worker.token {
+            return;
+        }
+        self.worker.token = batch.token;
+        self.sent.commands.extend(batch.commands.iter().cloned());
+        for command in &batch.commands {
+            let key = (command.task.clone(), command.attempt);
+            match command.kind {
+                CommandKind::Start => {
+                    self.worker.tasks.entry(key).or_insert(TaskStatus {
+                        task: command.task.clone(),
+                        attempt: command.attempt,
+                        state: TaskState::Running,
+                        exit_reason: None,
+                    });
+                }
+                CommandKind::Stop => {
+                    if let Some(status) = self.worker.tasks.get_mut(&key) {
+                        status.state = TaskState::Exited;
+                        status.exit_reason = Some(ExitReason::Stopped);
+                    }
+                }
+                CommandKind::Clear => drop(self.worker.tasks.remove(&key)),
+            }
+        }
+    }
+
+    // ---- what the controller wants done
+
+    /// Carries out what the controller wants, until it wants nothing more now.
+    fn settle(&mut self) {
+        loop {
+            let effects = self.controller.take_effects();
+            if effects.is_empty() {
+                if !self.answer_watches() {
+                    return;
+                }
+                continue;
+            }
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let now = self.clock();
+        match effect {
+            Effect::Respond {
+                request_id,
+                status,
+                body,
+                ..
+            } => {
+                if self.worker_request == Some(request_id) {
+                    if status == 200 {
+                        let batch: CommandBatch = cbor::decode(&body).expect("commands");
+                        self.execute(&batch);
+                    }
+                } else {
+                    self.answers.insert(request_id, (status, body));
+                }
+            }
+            Effect::CallKv {
+                correlation_id,
+                request,
+                ..
+            } => self.on_kv_request(correlation_id, request),
+            Effect::CallCloud {
+                correlation_id,
+                request,
+                ..
+            } => {
+                let response = self.on_cloud_request(&request);
+                self.controller
+                    .on_cloud_response(correlation_id, response, now);
+            }
+            Effect::CallWorker {
+                correlation_id,
+                request,
+                ..
+            } => {
+                let response = self.on_worker_request(&request);
+                self.controller
+                    .on_worker_response(correlation_id, response, now);
+            }
+            Effect::BroadcastHeartbeat(heartbeat) => self.counts = heartbeat.counts,
+        }
+    }
+
+    fn on_worker_request(&mut self, request: &WorkerRequest) -> WorkerResponse {
+        if !self.worker.is_up {
+            return WorkerResponse::OutcomeUnknown;
+        }
+        let WorkerRequest::Commands(batch) = request;
+        self.execute(batch);
+        WorkerResponse::Executed(Box::new(self.next_heartbeat()))
+    }
+
+    fn on_cloud_request(&mut self, request: &CloudRequest) -> CloudResponse {
+        match request {
+            CloudRequest::ListInstanceTypes => {
+                CloudResponse::InstanceTypes(vec![super::common::instance_type("f")])
+            }
+            CloudRequest::CreateInstances(request) => {
+                self.sent.instances_requested += request.count;
+                CloudResponse::InsufficientCapacity
+            }
+            CloudRequest::DeleteInstances(_) => CloudResponse::Deleted,
+            CloudRequest::ListInstances(_) => CloudResponse::Page {
+                instances: vec![Instance {
+                    name: WORKER.to_owned(),
+                    endpoint: "10.1.0.1:9000".to_owned(),
+                    instance_type: "f".to_owned(),
+                    zone: "a".to_owned(),
+                    spot: false,
+                    status: InstanceStatus::Running,
+                    age_s: self.now,
+                }],
+                more: false,
+            },
+        }
+    }
+
+    fn on_kv_request(&mut self, correlation_id: CorrelationId, request: KvRequest) {
+        if let KvRequest::Watch {
+            prefix,
+            after,
+            wait_ms,
+        } = request
+        {
+            self.watches.push(WaitingWatch {
+                correlation_id,
+                prefix,
+                after,
+                until: self.now + wait_ms as f64 / 1000.0,
+            });
+            return;
+        }
+        let response = self.respond(&request);
+        let held = self.held_as(&request);
+        if let KvRequest::Txn(txn) = request {
+            let committed = matches!(response, KvResponse::Committed(_));
+            self.sent.transactions.push((txn, committed));
+        }
+        if let Some(held) = held {
+            self.held.push((held, correlation_id, response));
+            return;
+        }
+        let now = self.clock();
+        self.controller
+            .on_kv_response(correlation_id, response, now);
+    }
+
+    fn respond(&mut self, request: &KvRequest) -> KvResponse {
+        match request {
+            KvRequest::Get(key) => {
+                self.sent.reads.push(key.clone());
+                self.store.get(key)
+            }
+            KvRequest::List { prefix, after } => {
+                self.store.list(prefix, after.as_deref(), PAGE_SIZE)
+            }
+            KvRequest::Txn(txn) => self.store.transact(txn),
+            KvRequest::GrantLease(ttl_ms) => self.store.grant_lease(*ttl_ms, self.now),
+            KvRequest::KeepAlive(lease_id) => self.store.keep_alive(*lease_id, self.now),
+            KvRequest::RevokeLease(lease_id) => self.store.revoke_lease(*lease_id),
+            KvRequest::Watch { .. } => unreachable!("watches wait"),
+        }
+    }
+
+    fn held_as(&self, request: &KvRequest) -> Option<Held> {
+        let held = match request {
+            KvRequest::List {
+                prefix,
+                after: Some(_),
+            } if prefix == records::OPEN_PREFIX => Held::LaterPages,
+            KvRequest::Txn(txn) if txn.writes.iter().any(is_submission) => Held::Submissions,
+            KvRequest::Get(key) if key.starts_with(records::OPEN_PREFIX) => Held::Lookups,
+            _ => return None,
+        };
+        self.holds.contains(&held).then_some(held)
+    }
+
+    /// Answers the watches that have something to tell, or have waited for long enough. Returns whether
+    /// there were any.
+    fn answer_watches(&mut self) -> bool {
+        let mut any = false;
+        for watch in std::mem::take(&mut self.watches) {
+            let is_open_jobs = watch.prefix == records::OPEN_PREFIX;
+            if is_open_jobs && self.holds.contains(&Held::Watches) {
+                self.watches.push(watch);
+                continue;
+            }
+            let response = if is_open_jobs && std::mem::take(&mut self.compacts) {
+                KvResponse::Compacted
+            } else {
+                self.store.changes_after(&watch.prefix, watch.after)
+            };
+            let is_quiet =
+                matches!(&response, KvResponse::Events { events, .. } if events.is_empty());
+            if is_quiet && self.now < watch.until {
+                self.watches.push(watch);
+                continue;
+            }
+            any = true;
+            let now = self.clock();
+            self.controller
+                .on_kv_response(watch.correlation_id, response, now);
+        }
+        any
+    }
+}
+
+fn is_submission(write: &WriteOp) -> bool {
+    matches!(write, WriteOp::Put { key, .. } if key.starts_with(records::OPEN_PREFIX))
+}
+
+/// The body of a submission of an array of tasks that take two CPUs each.
+fn submission(id: &str, tasks: u32, rank: &str) -> Vec<u8> {
+    let text = |text: &str| Value::Text(text.to_owned());
+    let fields = vec![
+        ("NameId", text(id)),
+        ("Jobclass", text("c")),
+        ("Owner", text("t")),
+        ("Shape", text("array")),
+        ("Rank", text(rank)),
+        ("Steps", Value::from(tasks)),
+        ("Cores", Value::Float(2.0)),
+        ("Gpus", Value::Float(0.0)),
+        ("RamGb", Value::Float(1.0)),
+        ("Flavors", Value::Null),
+        ("OneZone", Value::Bool(false)),
+        ("Spread", Value::Bool(false)),
+        ("Windfall", Value::Bool(false)),
+        ("Bundle", text("img")),
+        ("PullGb", Value::Float(0.5)),
+        ("ExpectS", Value::Float(30.0)),
+        ("SnapshotS", Value::Float(0.0)),
+        ("FlushS", Value::Float(0.0)),
+    ];
+    let fields = fields
+        .into_iter()
+        .map(|(name, value)| (text(name), value))
+        .collect();
+    cbor::encode(&Value::Map(fields))
+}
+
+/// A job of the submissions' shape.
+pub fn job_spec(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        kind: JobKind::Array,
+        ..super::common::spec(id, tasks)
+    }
+}
