Review, case 1: services whose machine was drained are left waiting beside it

Cause: a worker that is drained is usable again only once no replica waits, but its replicas wait for it if the machine that they were to move to has died. Done: the case, with its part of the stand-ins.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 [ -x "$root/target/review/standins" ] && [ -x "$root/target/release/cedarladder" ] || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-"$root/target/review/standins" sick-machine "$here/record.txt" "$root" "$folder"
+"$root/target/review/standins" drained-machine "$here/record.txt" "$root" "$folder"
--- a/review/standins/cloud.rs
+++ b/review/standins/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud: rents machines, boots them, lists them late, and deletes or takes them.
 
-use crate::cbor::{int, map, text, Value};
+use crate::cbor::{map, text, Value};
 use crate::http::{serve, Reply, Request};
 use crate::record::sleep;
 use crate::site::MachineType;
@@ -19,6 +19,8 @@
     pub rented_at: f64,
     pub up_at: Option<f64>,
     pub gone_at: Option<f64>,
+    /// When it stopped by itself; it stays listed until it is deleted.
+    pub died_at: Option<f64>,
     pub worker: Option<Arc<Worker>>,
 }
 
@@ -67,6 +69,11 @@
         self.inner.lock().unwrap().requests.iter().filter(|at| **at >= time).count()
     }
 
+    /// When machines were last asked for.
+    pub fn last_request(&self) -> Option<f64> {
+        self.inner.lock().unwrap().requests.last().copied()
+    }
+
     /// Takes a machine back, with no notice.
     pub fn take(&self, name: &str) {
         let mut inner = self.inner.lock().unwrap();
@@ -80,6 +87,19 @@
         }
     }
 
+    /// A machine stops with all that is on it. It is listed as running for 30 s more, then as failed.
+    pub fn die(&self, name: &str) {
+        let mut inner = self.inner.lock().unwrap();
+        let now = self.world.record.now();
+        if let Some(machine) = inner.machines.iter_mut().find(|m| m.name == name && m.gone_at.is_none()) {
+            machine.died_at = Some(now);
+            self.world.record.log("cloud", format!("{name} dies"));
+            if let Some(worker) = &machine.worker {
+                worker.set_health(Health::Gone);
+            }
+        }
+    }
+
     fn handle(self: Arc<Cloud>, request: &Request) -> Reply {
         sleep(0.05);
         match (request.method.as_str(), request.path.as_str()) {
@@ -156,6 +176,7 @@
                 rented_at: now,
                 up_at: None,
                 gone_at: None,
+                died_at: None,
                 worker: None,
             });
             hosts.push(name);
@@ -217,7 +238,11 @@
             .filter(|m| m.rented_at <= then && m.gone_at.is_none_or(|at| at > then))
             .take(500)
             .map(|m| {
-                let status = if m.up_at.is_some_and(|at| at <= then) { "running" } else { "starting" };
+                let status = match (m.died_at, m.up_at) {
+                    (Some(at), _) if at + 30.0 <= then => "failed",
+                    (_, Some(at)) if at <= then => "running",
+                    _ => "starting",
+                };
                 map(vec![
                     ("NameId", text(&m.name)),
                     ("Endpoint", text(m.endpoint.to_string())),
@@ -236,8 +261,3 @@
 fn hosts_body(hosts: &[String]) -> Vec<u8> {
     map(vec![("Hosts", Value::List(hosts.iter().map(text).collect()))]).encode()
 }
-
-#[allow(dead_code)]
-pub fn count(n: usize) -> Value {
-    int(n as u64)
-}
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -131,3 +131,37 @@
         ..lima()
     }
 }
+
+/// A deployment with the figures of the brief's `dallim-activation-seoul`.
+pub fn dallim() -> Site {
+    Site {
+        node_zone: "gasan",
+        zones: vec!["gasan", "pangyo"],
+        types: vec![MachineType {
+            name: "hanbit-core",
+            cpus: 16.0,
+            ram_gb: 64.0,
+            pull_gb_per_s: 0.3,
+            hourly: 0.69,
+            market: 0.2,
+            ready_s: 25.0,
+            ordinary: 9,
+            spot: 5,
+        }],
+        teams: vec![
+            Team { name: "activation-core-00", cpus: 32.0, cpus_max: 88.0 },
+            Team { name: "activation-core-01", cpus: 32.0, cpus_max: 88.0 },
+        ],
+        objectives: "[[deployment.objectives]]\nkind = \"deadline\"\nclass = \"carrier-sync\"\nshare = 0.95\ntimes = 1.0\n\n\
+                     [[deployment.objectives]]\nkind = \"wait\"\nclass = \"carrier-sync\"\nwithin_s = 1.0\nshare = 0.85\n",
+        lease_s: 12.0,
+        cancel_s: 37.0,
+        state_write_rps: 50.0,
+        txn_ops: 40,
+        cloud_rps: 2.0,
+        list_lag_s: 8.0,
+        core_share: 0.16,
+        max_sockets: 1200,
+        ..lima()
+    }
+}
--- a/review/standins/users.rs
+++ b/review/standins/users.rs
@@ -19,6 +19,7 @@
     /// The only allowed zone.
     pub grove: Option<&'a str>,
     pub expect_s: f64,
+    pub due_s: Option<f64>,
     /// How long its tasks really run.
     pub run_s: f64,
     /// Submitted with a mistake: its tasks fail on every machine.
@@ -47,7 +48,7 @@
             ("ExpectS", Value::Float(self.expect_s)),
             ("SnapshotS", Value::Float(0.0)),
             ("FlushS", Value::Float(0.0)),
-            ("DueS", Value::Null),
+            ("DueS", self.due_s.map_or(Value::Null, Value::Float)),
         ])
     }
 }
