Review, case 2: the jobs are submitted some seconds after the election

Cause: at the beginning of a leader's time its forecast of starts is high enough for a second machine, so the case held when the first decision came early. Done: submission 5 s after the start, arrays of four tasks again, 6 s of sickness.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -52,7 +52,9 @@
 /// Two small arrays are accepted while no machine is up. The machine that is rented for them is sick at first, so all
 /// their tasks fail; then it is well again, and empty.
 fn sick_machine(args: &Args) -> Option<Verdict> {
-    const SICK_S: f64 = 10.0;
+    const SICK_S: f64 = 6.0;
+    /// When the jobs are submitted: some time after the leader's election, since its forecast is an average over that time.
+    const SUBMIT_AT_S: f64 = 5.0;
     let trouble = args.trouble;
     let run = Run::start(
         args,
@@ -66,7 +68,7 @@
         team: "panel-altiplano",
         shape: "array",
         rank: "urgent",
-        steps: 3,
+        steps: 4,
         cores: 2.0,
         ram_gb: 6.2,
         windfall: true,
@@ -78,6 +80,7 @@
         broken: false,
     };
     let jobs = [job("j-000001"), job("j-000002")];
+    sleep(SUBMIT_AT_S - run.record.now());
     for job in &jobs {
         if !users::submit(&run.world, job) {
             return None;
