--- a/review/standins/controllers.rs
+++ b/review/standins/controllers.rs
@@ -1,7 +1,7 @@
 //! The controllers: real processes, started with the command of the deploy file.
 
 use crate::http::call;
-use crate::record::{Record, sleep};
+use crate::record::{Random, Record, sleep};
 use crate::site::Site;
 use std::fmt::Write as _;
 use std::fs::File;
@@ -20,9 +20,16 @@
     children: Vec<Option<Child>>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// An address that is free now. Its port is below those that the system gives to outgoing connections, so that none of
+/// these takes it before the controller listens.
+fn free_address(random: &Random) -> SocketAddr {
+    loop {
+        let port = random.between(10_000.0, 32_000.0) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The words of `run` in the deploy file.
@@ -42,14 +49,15 @@
         root: &Path,
         folder: &Path,
         nodes: usize,
+        random: &Random,
     ) -> Option<Controllers> {
         Some(Controllers {
             record,
             root: root.to_owned(),
             folder: folder.to_owned(),
             command: run_command(root)?,
-            addresses: (0..nodes).map(|_| free_address()).collect(),
-            peer_addresses: (0..nodes).map(|_| free_address()).collect(),
+            addresses: (0..nodes).map(|_| free_address(random)).collect(),
+            peer_addresses: (0..nodes).map(|_| free_address(random)).collect(),
             children: (0..nodes).map(|_| None).collect(),
         })
     }
@@ -151,6 +159,12 @@
         }
     }
 
+    /// Whether all processes that were started still run.
+    pub fn all_run(&mut self) -> bool {
+        let mut children = self.children.iter_mut().flatten();
+        children.all(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Waits until a controller is healthy.
     pub fn wait_healthy(&self, node: usize, for_s: f64) -> bool {
         let begin = self.record.now();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -56,6 +56,7 @@
             Path::new(&args.root),
             Path::new(&args.folder),
             site.nodes,
+            &world.random,
         )?;
         controllers
             .write_settings(&site, cloud_address, &states)
@@ -72,6 +73,10 @@
                 return None;
             }
         }
+        if !controllers.all_run() {
+            record.log("run", "a controller has ended");
+            return None;
+        }
         Some(Run {
             record,
             world,
