--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -12,7 +12,10 @@
 
 impl Record {
     pub fn create(path: &str) -> std::io::Result<Record> {
-        Ok(Record { start: Instant::now(), file: Mutex::new(File::create(path)?) })
+        Ok(Record {
+            start: Instant::now(),
+            file: Mutex::new(File::create(path)?),
+        })
     }
     /// Seconds since the beginning of the run.
     pub fn now(&self) -> f64 {
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -74,8 +74,16 @@
             },
         ],
         teams: vec![
-            Team { name: "campo-sur-00", cpus: 0.0, cpus_max: 0.0 },
-            Team { name: "campo-sur-01", cpus: 0.0, cpus_max: 0.0 },
+            Team {
+                name: "campo-sur-00",
+                cpus: 0.0,
+                cpus_max: 0.0,
+            },
+            Team {
+                name: "campo-sur-01",
+                cpus: 0.0,
+                cpus_max: 0.0,
+            },
         ],
         objectives: "[[deployment.objectives]]\nkind = \"deadline\"\nclass = \"limpieza\"\nshare = 0.9\ntimes = 1.0\n\n\
                      [[deployment.objectives]]\nkind = \"wait\"\nclass = \"formularios\"\nwithin_s = 1.0\nshare = 0.9\n",
@@ -96,17 +104,18 @@
 
 /// A small deployment with the figures of `panel-andino`: its settings, and the machines of its small size.
 pub fn panel() -> Site {
-    let kind = |name, cpus, ram_gb, pull_gb_per_s, hourly, market, ready_s, ordinary, spot| MachineType {
-        name,
-        cpus,
-        ram_gb,
-        pull_gb_per_s,
-        hourly,
-        market,
-        ready_s,
-        ordinary,
-        spot,
-    };
+    let kind =
+        |name, cpus, ram_gb, pull_gb_per_s, hourly, market, ready_s, ordinary, spot| MachineType {
+            name,
+            cpus,
+            ram_gb,
+            pull_gb_per_s,
+            hourly,
+            market,
+            ready_s,
+            ordinary,
+            spot,
+        };
     Site {
         node_zone: "juliaca",
         zones: vec!["juliaca"],
@@ -115,7 +124,11 @@
             kind("vicuna", 32.0, 128.0, 0.3, 1.54, 0.38, 20.0, 1, 3),
             kind("condor", 64.0, 256.0, 0.4, 2.95, 0.75, 35.0, 1, 1),
         ],
-        teams: vec![Team { name: "panel-altiplano", cpus: 0.0, cpus_max: 0.0 }],
+        teams: vec![Team {
+            name: "panel-altiplano",
+            cpus: 0.0,
+            cpus_max: 0.0,
+        }],
         objectives: "[[deployment.objectives]]\nkind = \"wait\"\nclass = \"cierre-ronda\"\nwithin_s = 50.0\nshare = 0.992\n\n\
                      [[deployment.objectives]]\nkind = \"finished\"\nclass = \"cierre-ronda\"\nwithin_s = 120.0\nshare = 0.992\n",
         report_s: 8.0,
@@ -149,8 +162,16 @@
             spot: 5,
         }],
         teams: vec![
-            Team { name: "activation-core-00", cpus: 32.0, cpus_max: 88.0 },
-            Team { name: "activation-core-01", cpus: 32.0, cpus_max: 88.0 },
+            Team {
+                name: "activation-core-00",
+                cpus: 32.0,
+                cpus_max: 88.0,
+            },
+            Team {
+                name: "activation-core-01",
+                cpus: 32.0,
+                cpus_max: 88.0,
+            },
         ],
         objectives: "[[deployment.objectives]]\nkind = \"deadline\"\nclass = \"carrier-sync\"\nshare = 0.95\ntimes = 1.0\n\n\
                      [[deployment.objectives]]\nkind = \"wait\"\nclass = \"carrier-sync\"\nwithin_s = 1.0\nshare = 0.85\n",
