Leader: replace and release silent workers also when most are silent

Cause: placement and the inventory of pools decided separately whether a worker can take tasks. Silence of most workers counts as a partition of the controller, without a limit of time; one silent worker of one is most. It was not released and, having been up once, counted as its pool's machine, so that the target was met. The list of the cloud was asked only about workers that were never up.

Change: `Worker::unavailable_reason` is the one answer that placement, inventory, headroom, demand and consolidation ask. `leader/availability.rs` bounds for how long an unavailable worker counts as capacity (its lease; 2.5 heartbeat intervals if idle; three leases if kept in a partitioned zone). Silent workers are released once a newer list lacks them, after three leases if another worker is in contact or nothing waits, and one each lease if all are out of contact and the cloud has no capacity left. Bindings end as before, with the lease or a confirmed deletion. The invariant NoLastingUnavailableCapacity checks the bound at run time. Workers that were up under an earlier leader are no longer taken for failed boots: a leader elected in a partition released the whole fleet.

Evidence: tests/unavailable_workers.rs, on the sources before: unfinished job in tasks_of_the_only_worker_run_elsewhere_after_it_has_failed ("taken back without notice"), 7 of 8 silent workers kept in silent_workers_are_replaced_although_most_are_silent, 2 of 2 workers released in a_partition_from_all_workers_does_not_release_the_fleet; all pass now.

--- a/src/bookkeeping/invariants.rs
+++ b/src/bookkeeping/invariants.rs
@@ -1,4 +1,4 @@
-//! Safety invariants, checked immediately before a message is sent or a binding is dropped.
+//! Invariants, checked immediately before a message is sent, a binding is dropped or a worker is counted as capacity.
 //!
 //! [`super::permits`] decides which actions are permitted; the checks in this module verify its decisions
 //! independently. A violation is a bug in this program: it is logged at `error` with a count, the action is refused,
@@ -22,6 +22,9 @@
     NoRenewalBeyondLeaseGrace,
     /// No binding is dropped while a start command for it may still arrive.
     NoUnbindWhileStartMayArrive,
+    /// No worker counts as capacity of its pool for longer than the settings allow while it can't take tasks; otherwise
+    /// no other instance would be requested for the tasks that wait for it.
+    NoLastingUnavailableCapacity,
     /// Each binding in a worker's record is also in the record of its job, as long as the job is open.
     NoBindingUnknownToItsJob,
 }
--- a/src/bookkeeping/workers/mod.rs
+++ b/src/bookkeeping/workers/mod.rs
@@ -4,6 +4,7 @@
 //! This module does not decide which actions to take: [`super::permits`] and [`super::reconciliation`] do, based on
 //! these records.
 
+mod availability;
 mod binding;
 mod delivery;
 mod pending_starts;
@@ -12,6 +13,7 @@
 mod revocation;
 mod worker;
 
+pub use availability::{Unavailability, UnavailableReason};
 pub use binding::{Binding, Eviction, EvictionReason};
 pub use delivery::DeliveryPath;
 pub use pending_starts::{CallOutcome, PendingStarts};
--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -1,5 +1,6 @@
 //! One worker: its instance, its lease, the tasks bound to it and the contents of its heartbeats.
 
+use super::availability::Unavailability;
 use super::binding::Binding;
 use super::pending_starts::PendingStarts;
 use super::resources::Resources;
@@ -26,8 +27,9 @@
     pub endpoint: String,
     /// The instance is to be deleted: no more tasks are placed on the worker.
     pub terminating: bool,
-    /// The worker's service replicas are being moved to other workers: no task is placed on it until it is empty.
-    pub draining: bool,
+    /// Since when the worker's service replicas are being moved to other workers; `None` if they are not. No task is
+    /// placed on the worker meanwhile.
+    pub draining_since: Option<f64>,
     /// The termination is committed to the state service, so that the delete request may be sent.
     pub termination_recorded: bool,
     /// Latest incarnation seen; 0 before the first heartbeat.
@@ -43,10 +45,16 @@
     /// The latest time at which the worker's lease may have been renewed. The lease ends at most `lease_s`, which is a
     /// setting, after this time.
     pub lease_renewed_at: f64,
+    /// The worker has sent a heartbeat, to this leader or to an earlier one that has bound tasks to it.
+    pub has_been_up: bool,
     /// When this leader received the worker's first heartbeat; `None` before.
     pub first_heartbeat_at: Option<f64>,
     /// When this leader received the worker's latest heartbeat; `None` before the first.
     pub last_heartbeat_at: Option<f64>,
+    /// The worker has missed its latest heartbeat, as of the leader's latest check.
+    pub is_silent: bool,
+    /// Why and since when the worker can't take tasks, as of the leader's latest check; `None` if it can.
+    pub unavailability: Option<Unavailability>,
     /// Since when the worker may be unreachable, because a direct call was not answered or the worker has begun a new
     /// incarnation although its heartbeats were answered; `None` once the worker answers a direct call. Heartbeats may
     /// still arrive from a worker that receives neither responses nor commands.
@@ -84,7 +92,7 @@
             spot,
             endpoint: String::new(),
             terminating: false,
-            draining: false,
+            draining_since: None,
             termination_recorded: false,
             incarnation: 0,
             sequence: 0,
@@ -92,8 +100,11 @@
             token_acknowledged: false,
             observed_tasks: BTreeMap::new(),
             lease_renewed_at: now,
+            has_been_up: false,
             first_heartbeat_at: None,
             last_heartbeat_at: None,
+            is_silent: false,
+            unavailability: None,
             unreachable_since: None,
             reclaim_at: None,
             bindings: BTreeMap::new(),
@@ -122,16 +133,6 @@
             .sum()
     }
 
-    /// Whether the scheduler may place tasks on the worker. Failures of tasks on the worker are not considered.
-    pub fn is_schedulable(&self) -> bool {
-        self.token_acknowledged
-            && !self.terminating
-            && !self.draining
-            && self.unreachable_since.is_none()
-            && self.reclaim_at.is_none()
-            && self.last_heartbeat_at.is_some()
-    }
-
     /// Whether a heartbeat is newer than all earlier ones, by its incarnation and sequence number.
     pub fn is_newer(&self, heartbeat: &WorkerHeartbeat) -> bool {
         (heartbeat.incarnation, heartbeat.sequence) > (self.incarnation, self.sequence)
--- /dev/null
+++ b/src/coordination/leader/availability.rs
@@ -0,0 +1,112 @@
+//! Availability of workers over time: tracks since when each worker can't take tasks, ends the states that only time
+//! ends, and decides for how long a worker that can't take tasks still counts as capacity of its pool. While it counts,
+//! the pool waits for it; afterwards the pool requests another instance for the tasks that wait.
+//!
+//! What ends each state, and the bounds, are listed in docs/design.md.
+
+use super::Leader;
+use super::failure_detection::{
+    BOOT_TIMEOUT_FACTOR, MISSED_HEARTBEATS, PARTITION_LEASES, RECONNECT_HEARTBEATS,
+};
+use super::fleet::BOOT_OVERDUE_FACTOR;
+use crate::bookkeeping::invariants::{self, Invariant};
+use crate::bookkeeping::workers::{UnavailableReason, Worker};
+
+impl Leader {
+    /// Updates which workers are silent, and since when and why each worker can't take tasks.
+    pub(super) fn update_availability(&mut self, now: f64) {
+        let missed_s = MISSED_HEARTBEATS * self.fleet.heartbeat_interval_s;
+        for worker in self.workers.iter_mut() {
+            let silent_since = self.leases.silent_since(worker);
+            worker.is_silent = silent_since.is_some_and(|since| now - since > missed_s);
+            if worker.update_unavailability(now) {
+                let reason = worker.unavailability.map(|now| now.reason);
+                tracing::debug!(worker = worker.name, ?reason, "worker availability changed");
+                if reason.is_none() {
+                    self.scheduling.request();
+                }
+            }
+        }
+    }
+
+    /// Whether a worker counts as capacity of its pool: it can take tasks, or is expected to within a bounded time.
+    pub(super) fn counts_as_capacity(&self, worker: &Worker, now: f64) -> bool {
+        let Some(reason) = worker.unavailable_reason() else {
+            return true;
+        };
+        now < self.expected_available_by(worker, reason, now)
+            && invariants::check(
+                Invariant::NoLastingUnavailableCapacity,
+                worker.unavailable_s(now) <= self.max_unavailable_s(worker),
+                format_args!("worker {}, {reason:?}", worker.name),
+            )
+    }
+
+    /// Returns the time until which a worker that can't take tasks is expected to become available.
+    fn expected_available_by(&self, worker: &Worker, reason: UnavailableReason, now: f64) -> f64 {
+        match reason {
+            UnavailableReason::Terminating | UnavailableReason::ReclaimAnnounced => {
+                f64::NEG_INFINITY
+            }
+            UnavailableReason::NoHeartbeat => self.expected_up_by(worker),
+            UnavailableReason::Silent
+            | UnavailableReason::Unreachable
+            | UnavailableReason::EpochNotAcknowledged
+            | UnavailableReason::Cordoned
+            | UnavailableReason::Draining => self.expected_back_by(worker, now),
+        }
+    }
+
+    /// Returns the time by which an instance is expected to have sent a heartbeat. One that was up under an earlier
+    /// leader is expected to find this one. One that the cloud lists as running is expected until its boot times out.
+    fn expected_up_by(&self, worker: &Worker) -> f64 {
+        let found_leader_by = self.elected_at + self.max_absence_s(worker);
+        let boot_timeout_s = BOOT_TIMEOUT_FACTOR * self.usual_boot_time_s(worker);
+        if worker.has_been_up {
+            found_leader_by
+        } else if worker.listed_running {
+            found_leader_by.max(worker.first_seen_at + boot_timeout_s)
+        } else {
+            self.boot_overdue_at(worker)
+        }
+    }
+
+    /// Returns the time until which a worker that was up is expected to take tasks again. By the end of its lease its
+    /// tasks have ended. A worker that is kept because of a partition is expected for as long as it is kept.
+    fn expected_back_by(&self, worker: &Worker, now: f64) -> f64 {
+        if self.is_kept_during_partition(worker, now) {
+            return f64::INFINITY;
+        }
+        let unavailable_since = now - worker.unavailable_s(now);
+        let lease_end = self.leases.expires_at(worker);
+        lease_end.min(unavailable_since + self.max_absence_s(worker))
+    }
+
+    /// Returns the longest time for which a worker is expected back: the time that workers need to find a leader, or a
+    /// lease if tasks are bound to it. The shorter time lets even a leader that soon resigns replace an idle worker.
+    fn max_absence_s(&self, worker: &Worker) -> f64 {
+        if worker.bindings.is_empty() {
+            RECONNECT_HEARTBEATS * self.fleet.heartbeat_interval_s
+        } else {
+            self.settings.deployment.workers.lease_s
+        }
+    }
+
+    /// Returns the time from which an instance that is not up counts as overdue.
+    pub(super) fn boot_overdue_at(&self, worker: &Worker) -> f64 {
+        worker.first_seen_at + BOOT_OVERDUE_FACTOR * self.usual_boot_time_s(worker)
+    }
+
+    /// Whether an instance is booting, and not overdue.
+    pub(super) fn is_booting(&self, worker: &Worker, now: f64) -> bool {
+        worker.unavailable_reason() == Some(UnavailableReason::NoHeartbeat)
+            && !worker.has_been_up
+            && now <= self.boot_overdue_at(worker)
+    }
+
+    /// Returns the longest time for which any worker of this type may count as capacity while it can't take tasks.
+    fn max_unavailable_s(&self, worker: &Worker) -> f64 {
+        let lease_s = self.settings.deployment.workers.lease_s;
+        PARTITION_LEASES * lease_s + BOOT_TIMEOUT_FACTOR * self.usual_boot_time_s(worker) + lease_s
+    }
+}
--- a/src/coordination/leader/consolidation.rs
+++ b/src/coordination/leader/consolidation.rs
@@ -11,9 +11,17 @@
     /// sparsely used and the zone's other on-demand workers in use have room for its replicas and for
     /// `headroom_replicas` more. `request` is what one replica requests on average. Workers that have become empty
     /// are no longer marked as draining.
-    pub(super) fn consolidate(&mut self, zone: &str, headroom_replicas: u32, request: &Resources) {
+    pub(super) fn consolidate(
+        &mut self,
+        zone: &str,
+        headroom_replicas: u32,
+        request: &Resources,
+        now: f64,
+    ) {
         for worker in self.workers.iter_mut() {
-            worker.draining &= !worker.bindings.is_empty();
+            if worker.bindings.is_empty() {
+                worker.draining_since = None;
+            }
         }
         let capacity = |worker: &Worker| {
             let instance_type = self
@@ -52,7 +60,7 @@
         // `moved` is the number of tasks that are evicted now, and that will later be bound to other workers.
         tracing::info!(worker = name, moved, "consolidation started");
         if let Some(worker) = self.workers.get_mut(&name) {
-            worker.draining = true;
+            worker.draining_since = Some(now);
             for (task, binding) in &mut worker.bindings {
                 let checkpoint_grace_s = self
                     .jobs
--- a/src/coordination/leader/failure_detection.rs
+++ b/src/coordination/leader/failure_detection.rs
@@ -2,18 +2,18 @@
 //! came up, and zones that are partitioned from this controller.
 
 use super::Leader;
-use super::fleet::ScaleInReason;
+use super::fleet::{PoolKey, ScaleInReason};
 use crate::bookkeeping::workers::Worker;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time after which an instance that is not up is released, in units of its usual boot time.
-const BOOT_TIMEOUT_FACTOR: f64 = 2.5;
+pub(super) const BOOT_TIMEOUT_FACTOR: f64 = 2.5;
 /// Time after which an instance that the cloud no longer lists counts as lost, in units of the list lag (the time by
 /// which the cloud's list may be out of date). The usual boot time is added to it.
 const LIST_LAGS_UNTIL_LOST: f64 = 4.0;
 /// Time without a heartbeat after which a worker counts as having missed one, in heartbeat intervals. The usual
 /// variation of the intervals does not explain so long a gap.
-const MISSED_HEARTBEATS: f64 = 1.5;
+pub(super) const MISSED_HEARTBEATS: f64 = 1.5;
 /// Time without a heartbeat from any worker after which this controller counts as isolated, in heartbeat intervals.
 /// The usual variation of the intervals does not explain so long a gap.
 const SILENCE_HEARTBEATS: f64 = 1.25;
@@ -26,11 +26,11 @@
 const LATE_HEARTBEATS: f64 = 1.1;
 /// A zone counts as partitioned while at least this share of its workers is late.
 const MIN_LATE_SHARE: f64 = 0.35;
-/// Time for which the silent workers of a partitioned zone are kept, in units of the worker lease.
-const PARTITION_LEASES: f64 = 3.0;
+/// Time for which workers are kept because a partition may explain their silence, in units of the worker lease.
+pub(super) const PARTITION_LEASES: f64 = 3.0;
 /// Time that workers need to reconnect, in heartbeat intervals: one heartbeat gets no response, and the next goes to
 /// another controller.
-const RECONNECT_HEARTBEATS: f64 = 2.5;
+pub(super) const RECONNECT_HEARTBEATS: f64 = 2.5;
 
 /// Number of a zone's workers that should send heartbeats, and how many of them are late.
 #[derive(Debug, Default)]
@@ -54,9 +54,8 @@
 }
 
 impl Leader {
-    /// Updates which zones are partitioned, and releases the workers that have failed or were reclaimed.
+    /// Releases the workers that have failed or were reclaimed.
     pub(super) fn remove_failed_workers(&mut self, now: f64) {
-        self.update_partitioned_zones(now);
         let is_isolated = self.is_isolated(now);
         let failed: Vec<(String, ScaleInReason)> = self
             .workers
@@ -70,10 +69,36 @@
         for (name, reason) in failed {
             self.scale_in(&name, reason);
         }
+        self.exchange_lost_worker(now);
+    }
+
+    /// Releases one of the workers that are kept although all workers have been out of contact for long, if tasks wait
+    /// and the cloud has no capacity for another instance in the worker's pool. The instance that takes its place shows
+    /// whether there is a partition. One worker at a time is released, so that a partition doesn't cost the fleet.
+    fn exchange_lost_worker(&mut self, now: f64) {
+        if now < self.fleet.next_exchange_at
+            || self.scheduling.pending_demand.is_empty()
+            || !self.has_lost_all_workers()
+        {
+            return;
+        }
+        let longest_lost = self
+            .workers
+            .iter()
+            .filter(|worker| worker.has_been_up && !worker.terminating)
+            .filter(|worker| self.has_been_unavailable_for_long(worker, now))
+            .filter(|worker| self.fleet.is_blocked(&PoolKey::of(worker), now))
+            .max_by(|a, b| a.unavailable_s(now).total_cmp(&b.unavailable_s(now)))
+            .map(|worker| worker.name.clone());
+        if let Some(name) = longest_lost {
+            self.fleet.next_exchange_at = now + self.settings.deployment.workers.lease_s;
+            self.scale_in(&name, ScaleInReason::Unresponsive);
+        }
     }
 
     /// Returns the reason to release a worker; `None` if there is none. While this controller `is_isolated`, or while
-    /// a worker is kept because of a partition, the worker's silence is no reason.
+    /// a worker is kept because of a partition, the worker's silence is no reason, unless the worker has not been of
+    /// use for long and nothing waits for it.
     fn removal_reason(
         &self,
         worker: &Worker,
@@ -81,7 +106,8 @@
         now: f64,
     ) -> Option<ScaleInReason> {
         let boot_time_s = self.usual_boot_time_s(worker);
-        let silence_counts = !is_isolated && !self.is_kept_during_partition(worker, now);
+        let is_held = is_isolated && !self.is_hold_over(worker, now);
+        let silence_counts = !is_held && !self.is_kept_during_partition(worker, now);
         if self.is_reclaimed(worker, now) {
             Some(ScaleInReason::Reclaimed)
         } else if self.has_boot_timed_out(worker, boot_time_s, now) {
@@ -92,7 +118,7 @@
             Some(ScaleInReason::Unreachable)
         } else if worker.failures.is_quarantined() {
             Some(ScaleInReason::FailsTasks)
-        } else if self.is_no_longer_listed(worker, boot_time_s, now) {
+        } else if self.is_no_longer_listed(worker, boot_time_s) {
             Some(ScaleInReason::NotListed)
         } else {
             None
@@ -111,8 +137,7 @@
     /// running may have booted under an earlier leader, and gets the time of a worker lease from this leader's
     /// election to send it a heartbeat.
     fn has_boot_timed_out(&self, worker: &Worker, boot_time_s: f64, now: f64) -> bool {
-        worker.last_heartbeat_at.is_none()
-            && worker.bindings.is_empty()
+        !worker.has_been_up
             && now - worker.first_seen_at > BOOT_TIMEOUT_FACTOR * boot_time_s
             && (!worker.listed_running
                 || now - self.elected_at > self.settings.deployment.workers.lease_s)
@@ -144,17 +169,41 @@
             .is_some_and(|at| now - at > self.settings.deployment.workers.lease_s)
     }
 
-    /// Whether an instance that never came up has disappeared from the cloud's list.
-    fn is_no_longer_listed(&self, worker: &Worker, boot_time_s: f64, now: f64) -> bool {
-        let lost_s = LIST_LAGS_UNTIL_LOST * self.fleet.list_lag_s + boot_time_s;
-        worker.last_heartbeat_at.is_none()
-            && worker.last_listed_at.is_some_and(|at| now - at > lost_s)
-            && worker.bindings.is_empty()
+    /// Whether an instance has disappeared from the cloud's list: a list that was read long after the last sign of the
+    /// instance lacks it. Only for workers that are silent, and for instances that never came up. The list shows that
+    /// the instance is gone even if this controller is isolated from its workers.
+    fn is_no_longer_listed(&self, worker: &Worker, boot_time_s: f64) -> bool {
+        let list_lost_s = LIST_LAGS_UNTIL_LOST * self.fleet.list_lag_s;
+        let Some(listed_as_of) = self.fleet.listed_as_of() else {
+            return false;
+        };
+        let last_listed_at = worker.last_listed_at.unwrap_or(worker.first_seen_at);
+        match worker.last_heartbeat_at {
+            Some(at) => worker.is_silent && listed_as_of - at.max(last_listed_at) > list_lost_s,
+            None => {
+                worker.last_listed_at.is_some()
+                    && listed_as_of - last_listed_at > list_lost_s + boot_time_s
+                    && worker.bindings.is_empty()
+            }
+        }
+    }
+
+    /// Whether a worker that is kept because this controller may be isolated need not be kept any longer: it has not
+    /// been available for long, and other workers are in contact or no task waits for capacity. Otherwise it is kept,
+    /// since a partition that ends would bring it back.
+    fn is_hold_over(&self, worker: &Worker, now: f64) -> bool {
+        self.has_been_unavailable_for_long(worker, now)
+            && (!self.has_lost_all_workers() || self.scheduling.pending_demand.is_empty())
+    }
+
+    /// Whether a worker has been unavailable for longer than workers are kept because of a partition.
+    fn has_been_unavailable_for_long(&self, worker: &Worker, now: f64) -> bool {
+        worker.unavailable_s(now) > PARTITION_LEASES * self.settings.deployment.workers.lease_s
     }
 
     /// Returns the usual boot time of a worker's instance type, in seconds; the heartbeat interval if the type is not
     /// known.
-    fn usual_boot_time_s(&self, worker: &Worker) -> f64 {
+    pub(super) fn usual_boot_time_s(&self, worker: &Worker) -> f64 {
         self.instance_types
             .iter()
             .find(|instance_type| instance_type.name == worker.instance_type)
@@ -167,7 +216,7 @@
     /// are not kept. Workers of a zone that stays partitioned for long are released, since by then waiting costs more
     /// than booting new instances. After the partition has ended, the on-demand workers of the zone are kept until
     /// they have had the time to reconnect.
-    fn is_kept_during_partition(&self, worker: &Worker, now: f64) -> bool {
+    pub(super) fn is_kept_during_partition(&self, worker: &Worker, now: f64) -> bool {
         let max_silence_s = PARTITION_LEASES * self.settings.deployment.workers.lease_s;
         !worker.spot
             && self.fleet.was_partitioned(&worker.zone)
@@ -178,8 +227,8 @@
     }
 
     /// Whether the silence of workers is explained by a partition of this controller rather than by failed workers.
-    /// It is while most workers are silent or unreachable, and for up to one worker lease while all zones are
-    /// partitioned or no worker sends heartbeats.
+    /// It is while most workers are silent or unreachable (see [`Leader::is_hold_over`] for how long they are kept),
+    /// and for up to one worker lease while all zones are partitioned or no worker sends heartbeats.
     fn is_isolated(&self, now: f64) -> bool {
         let lease_s = self.settings.deployment.workers.lease_s;
         // A partition of all zones is detected before most workers have missed a heartbeat.
@@ -194,6 +243,17 @@
         self.are_most_workers_silent(now) || all_partitioned || no_heartbeats
     }
 
+    /// Whether there are workers that were up, and none of them is in contact with this leader.
+    pub(super) fn has_lost_all_workers(&self) -> bool {
+        let mut were_up = self
+            .workers
+            .iter()
+            .filter(|worker| worker.has_been_up && !worker.terminating)
+            .peekable();
+        were_up.peek().is_some()
+            && were_up.all(|worker| worker.is_silent || worker.unreachable_since.is_some())
+    }
+
     /// Whether most workers have missed their latest heartbeat, or can't be reached. A worker counts as silent before
     /// it has been silent for long enough to be released; otherwise the first few would be released before most of
     /// them count.
@@ -215,12 +275,16 @@
     /// Finds the zones in which so many workers are late at once that a partition is a more likely cause than failed
     /// instances. Tasks in a partitioned zone may continue to run, and their workers reconnect when the partition
     /// ends; deleting the instances would only add the time to boot new ones. A partition is detected before the
-    /// first worker of the zone counts as unresponsive.
+    /// first worker of the zone counts as unresponsive. Workers that have been silent for longer than a partitioned
+    /// zone's workers are kept don't count: instances may then be requested in their zone again.
     fn detect_partitions(&self, now: f64) -> ZonePartitions {
         let late_s = LATE_HEARTBEATS * self.settings.deployment.workers.heartbeat_interval_s;
         let mut zones: BTreeMap<&str, ZoneContact> = BTreeMap::new();
+        let max_silence_s = PARTITION_LEASES * self.settings.deployment.workers.lease_s;
         for worker in self.workers.iter().filter(|worker| !worker.terminating) {
-            if let Some(since) = self.leases.silent_since(worker) {
+            if let Some(since) = self.leases.silent_since(worker)
+                && now - since < max_silence_s
+            {
                 let zone = zones.entry(&worker.zone).or_default();
                 zone.workers += 1;
                 zone.late += usize::from(now - since > late_s);
@@ -241,7 +305,7 @@
 
     /// Records the zones that are partitioned now, and removes those that have been reachable for long enough for
     /// their workers to reconnect.
-    fn update_partitioned_zones(&mut self, now: f64) {
+    pub(super) fn update_partitioned_zones(&mut self, now: f64) {
         let partitions = self.detect_partitions(now);
         let fleet = &mut self.fleet;
         let all_since = fleet.all_partitioned_since.unwrap_or(now);
--- a/src/coordination/leader/fleet/inventory.rs
+++ b/src/coordination/leader/fleet/inventory.rs
@@ -12,8 +12,10 @@
     call: CallSchedule,
     /// Instances on the pages of the list that were read so far.
     partial_listing: Vec<Instance>,
-    /// When the list was last read completely; `None` before the first time.
-    pub(super) listed_at: Option<f64>,
+    /// When the first page of the list that is being read, or was read last, was requested.
+    first_page_requested_at: f64,
+    /// When the latest complete reading of the list was begun; `None` before the first.
+    pub(super) listed_as_of: Option<f64>,
 }
 
 impl Leader {
@@ -25,6 +27,9 @@
             return;
         }
         inventory.call.in_flight = true;
+        if inventory.partial_listing.is_empty() {
+            inventory.first_page_requested_at = now;
+        }
         let after = inventory
             .partial_listing
             .last()
@@ -55,7 +60,7 @@
         }
         let instances = std::mem::take(&mut inventory.partial_listing);
         inventory.call.not_before = now + fleet.list_lag_s;
-        inventory.listed_at = Some(now);
+        inventory.listed_as_of = Some(inventory.first_page_requested_at);
         for instance in instances {
             self.observe_instance(&instance, now);
         }
--- a/src/coordination/leader/fleet/mod.rs
+++ b/src/coordination/leader/fleet/mod.rs
@@ -62,6 +62,8 @@
     deletions: Deletions,
     next_scaling_at: f64,
     next_failure_check_at: f64,
+    /// No worker that is kept although all are out of contact is released before this time.
+    pub(super) next_exchange_at: f64,
     pub(super) pools: BTreeMap<PoolKey, Pool>,
     /// Running average of tasks' run times divided by their owners' estimates. It corrects for estimates that
     /// are mostly too high or mostly too low, as they are on some days.
@@ -90,6 +92,7 @@
             deletions: Deletions::default(),
             next_scaling_at: 0.0,
             next_failure_check_at: 0.0,
+            next_exchange_at: 0.0,
             pools: BTreeMap::new(),
             runtime_bias: 1.0,
             partitioned_zones: BTreeMap::new(),
@@ -103,6 +106,11 @@
         CALL_TIMEOUT_HEARTBEATS * self.heartbeat_interval_s
     }
 
+    /// Returns when the latest complete reading of the cloud's list was begun; `None` before the first.
+    pub(super) fn listed_as_of(&self) -> Option<f64> {
+        self.inventory.listed_as_of
+    }
+
     /// Whether a zone is partitioned, or was so recently that its workers may not have reconnected.
     pub(super) fn was_partitioned(&self, zone: &str) -> bool {
         self.partitioned_zones.contains_key(zone)
@@ -119,7 +127,7 @@
     /// had time to send heartbeats. The first leader of all need not wait for heartbeats, as no instance exists
     /// yet.
     fn is_informed(&self, is_first_leader: bool, now: f64) -> bool {
-        self.inventory.listed_at.is_some()
+        self.inventory.listed_as_of.is_some()
             && (is_first_leader
                 || now - self.started_at > FIRST_HEARTBEATS * self.heartbeat_interval_s)
     }
@@ -145,6 +153,8 @@
         if now >= self.fleet.next_failure_check_at {
             self.fleet.next_failure_check_at =
                 now + self.fleet.heartbeat_interval_s / CHECKS_PER_HEARTBEAT;
+            self.update_partitioned_zones(now);
+            self.update_availability(now);
             self.remove_failed_workers(now);
         }
     }
--- a/src/coordination/leader/heartbeats.rs
+++ b/src/coordination/leader/heartbeats.rs
@@ -289,12 +289,15 @@
             "worker registered"
         );
         worker.idle_since = now;
+        worker.unavailability = None;
     }
     worker.incarnation = heartbeat.incarnation;
     worker.sequence = heartbeat.sequence;
     worker.token = heartbeat.token;
     worker.first_heartbeat_at.get_or_insert(now);
     worker.last_heartbeat_at = Some(now);
+    worker.has_been_up = true;
+    worker.is_silent = false;
     worker.endpoint.clone_from(&heartbeat.endpoint);
     worker.reclaim_at = heartbeat.reclaim_in_s.map(|left_s| now + left_s);
     worker.observed_tasks = tasks;
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -106,8 +106,8 @@
     /// Returns the time from which a worker's silence counts: its last heartbeat, or the end of the last stall of the
     /// event loop if that is later. `None` if the worker may still be booting.
     pub(super) fn silent_since(&self, worker: &Worker) -> Option<f64> {
-        // If a worker has bindings but has sent no heartbeat to this leader, an earlier leader bound the tasks to it.
-        let inherited = (!worker.bindings.is_empty()).then_some(self.elected_at);
+        // A worker that has been up, but has sent no heartbeat to this leader, was up under an earlier leader.
+        let inherited = worker.has_been_up.then_some(self.elected_at);
         let last = worker.last_heartbeat_at.or(inherited)?;
         Some(last.max(self.receiving_since))
     }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -14,6 +14,7 @@
 //! - `scheduling`: runs cycles of the scheduler, and creates the bindings that follow
 //! - `binding_reconciliation`: compares bindings with the tasks that heartbeats list; `bindings`: ends bindings
 //! - `failure_attribution`: decides whether a failed task is the fault of its worker or of its job;
+//!   `availability`: tracks for how long workers can't take tasks, and whether they still count as capacity;
 //!   `failure_detection`: finds failed workers, which are then released, and partitioned zones
 //! - `fleet`: provisions and deletes instances; `scaling`: decides how many are needed; `consolidation`: moves
 //!   replicas together to empty a worker
@@ -22,6 +23,7 @@
 //! Names that end in `_s` are durations in seconds. Other times are readings of the monotonic clock in seconds,
 //! unless they are called `wall` (wall-clock time).
 
+mod availability;
 mod binding_reconciliation;
 mod bindings;
 mod commit;
--- a/src/coordination/leader/replay.rs
+++ b/src/coordination/leader/replay.rs
@@ -84,6 +84,7 @@
             job: job.id.clone(),
             index: entry.index,
         };
+        worker.has_been_up = true;
         worker.bindings.insert(task, binding);
     }
 
--- a/src/coordination/leader/scaling/demand.rs
+++ b/src/coordination/leader/scaling/demand.rs
@@ -243,9 +243,7 @@
             let booting = self
                 .workers
                 .iter()
-                .filter(|worker| !worker.terminating && worker.last_heartbeat_at.is_none())
-                .filter(|worker| offer.key.contains(worker))
-                .filter(|worker| !offer.is_overdue(worker.first_seen_at, now))
+                .filter(|worker| offer.key.contains(worker) && self.is_booting(worker, now))
                 .count() as u32;
             let expected = self.fleet.instances_expected(&offer.key);
             bins.extend((0..booting + expected).map(|_| Bin::new(pool, offer)));
--- a/src/coordination/leader/scaling/mod.rs
+++ b/src/coordination/leader/scaling/mod.rs
@@ -87,7 +87,7 @@
             if let Some(headroom) = self.headroom(offers, parameters, zone)
                 && !self.fleet.was_partitioned(zone)
             {
-                self.consolidate(zone, headroom.replicas, &headroom.request);
+                self.consolidate(zone, headroom.replicas, &headroom.request, now);
             }
         }
     }
--- a/src/coordination/leader/scaling/pool.rs
+++ b/src/coordination/leader/scaling/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::bookkeeping::workers::{Resources, Worker};
 use crate::coordination::leader::Leader;
-use crate::coordination::leader::fleet::{self, PoolKey};
+use crate::coordination::leader::fleet::PoolKey;
 use crate::protocol::cloud::InstanceType;
 
 /// What can be requested from a pool in this round.
@@ -28,22 +28,18 @@
     fn price_per_cpu(&self) -> f64 {
         self.price / self.instance_type.cpus.max(1.0)
     }
-
-    /// Whether an instance that was first seen at `first_seen_at` and is not up yet is overdue: it no longer counts
-    /// as future capacity.
-    pub(super) fn is_overdue(&self, first_seen_at: f64, now: f64) -> bool {
-        now - first_seen_at > fleet::BOOT_OVERDUE_FACTOR * self.instance_type.boot_time_s
-    }
 }
 
 /// Counts of a pool's instances, the resources in use on them, and the numbers of instances that it needs beyond
 /// the busy ones.
 #[derive(Default)]
 pub(super) struct PoolInventory {
-    /// Instances that are up, booting and not overdue, or being provisioned.
+    /// Instances that can take tasks or are expected to within a bounded time, and those being provisioned.
     pub(super) machines: u32,
     /// Instances being provisioned.
     pub(super) provisioning: u32,
+    /// Instances that can't take tasks and no longer count as capacity.
+    pub(super) unavailable: u32,
     /// Instances with bound tasks.
     pub(super) busy: u32,
     /// Instances that have no bound tasks, and onto which tasks may be placed.
@@ -107,16 +103,16 @@
         }
     }
 
-    /// Counts a pool's instances and the resources in use on them. Instances that are terminating, announced to be
-    /// reclaimed, or overdue are left out. `machines_to_fill` and `headroom_machines` are left at zero.
+    /// Counts a pool's instances and the resources in use on them. Instances that don't count as capacity are left out.
+    /// `machines_to_fill` and `headroom_machines` are left at zero.
     pub(super) fn pool_inventory(&self, offer: &PoolOffer, now: f64) -> PoolInventory {
         let mut inventory = PoolInventory::default();
         for worker in self.workers.iter() {
-            if worker.terminating || worker.reclaim_at.is_some() || !offer.key.contains(worker) {
+            if !offer.key.contains(worker) {
                 continue;
             }
-            let is_up = worker.last_heartbeat_at.is_some() || worker.listed_running;
-            if !is_up && offer.is_overdue(worker.first_seen_at, now) {
+            if !self.counts_as_capacity(worker, now) {
+                inventory.unavailable += 1;
                 continue;
             }
             inventory.machines += 1;
--- a/src/coordination/leader/scaling/target.rs
+++ b/src/coordination/leader/scaling/target.rs
@@ -7,6 +7,9 @@
 use crate::coordination::leader::Leader;
 use crate::policy::ScalingParameters;
 
+/// Maximum number of instances that are requested from a pool in a round while all workers are out of contact.
+const MAX_INSTANCES_WITHOUT_CONTACT: u32 = 1;
+
 impl Leader {
     /// Measures a pool's load and returns the autoscaler's decision on its target. A decision that differs from the
     /// pool's previous one is logged.
@@ -24,6 +27,7 @@
             pool = %offer.key,
             machines = inventory.machines,
             renting = inventory.provisioning,
+            unavailable = inventory.unavailable,
             busy = inventory.busy,
             used = inventory.allocated.dominant_share(&offer.resources()),
             ?load,
@@ -95,7 +99,8 @@
     }
 
     /// Requests the instances that a pool lacks, unless the pool is blocked or instances from an earlier request are
-    /// still being provisioned.
+    /// still being provisioned. While all workers are out of contact, few are requested in a round: a partition may be
+    /// the cause, and then new instances would be out of contact too.
     pub(super) fn scale_out_pool(
         &mut self,
         offer: &PoolOffer,
@@ -103,9 +108,12 @@
         inventory: &PoolInventory,
         decision: ScalingDecision,
     ) {
-        let machines = inventory.machines;
-        if decision.target > machines && !offer.blocked && inventory.provisioning == 0 {
-            self.scale_out(&offer.key, demand.priority, decision.target - machines);
+        let mut missing = decision.target.saturating_sub(inventory.machines);
+        if self.has_lost_all_workers() {
+            missing = missing.min(MAX_INSTANCES_WITHOUT_CONTACT);
+        }
+        if missing > 0 && !offer.blocked && inventory.provisioning == 0 {
+            self.scale_out(&offer.key, demand.priority, missing);
         }
     }
 
@@ -129,9 +137,9 @@
             .filter(|worker| {
                 !partitioned
                     && offer.key.contains(worker)
-                    && !worker.terminating
                     && worker.last_heartbeat_at.is_some()
                     && worker.bindings.is_empty()
+                    && self.counts_as_capacity(worker, now)
                     && now - worker.idle_since > parameters.cooldown_s
             })
             .collect();
--- a/src/coordination/scheduler/capacity.rs
+++ b/src/coordination/scheduler/capacity.rs
@@ -74,8 +74,7 @@
     }
 }
 
-/// Returns the capacity of all schedulable workers, except those that are cordoned because tasks failed on them, and
-/// those whose instance type is unknown.
+/// Returns the capacity of all schedulable workers, except those whose instance type is unknown.
 pub(super) fn worker_capacities<'a>(
     workers: &'a Workers,
     instance_types: &[InstanceType],
@@ -87,7 +86,7 @@
         .collect();
     workers
         .iter()
-        .filter(|worker| worker.is_schedulable() && !worker.failures.is_cordoned())
+        .filter(|worker| worker.is_schedulable())
         .filter_map(|worker| {
             let instance_type = by_name.get(worker.instance_type.as_str())?;
             let total = Resources::from(*instance_type);
--- /dev/null
+++ b/tests/unavailable_workers.rs
@@ -0,0 +1,152 @@
+//! Workers that can't take tasks, in fleets of a few workers: each must become usable again, be replaced or be released
+//! within a bounded time, so that no accepted job is left waiting.
+
+mod world;
+
+use std::collections::BTreeSet;
+use world::{LEASE_S, World};
+
+/// Time after which a job that could run must no longer be waiting: the users' bound, counted from the end of a lease.
+const MAX_WAIT_S: f64 = 90.0;
+/// A time that is longer than any simulation.
+const FOR_EVER_S: f64 = 1e6;
+/// Number of tasks that fill a worker.
+const TASKS_PER_WORKER: u32 = 4;
+
+/// Returns a world with a service, or an array, whose tasks fill a number of on-demand workers in one zone and run on
+/// them.
+fn world_with_busy_workers(
+    workers: u32,
+    (is_service, run_s): (bool, f64),
+    controllers: usize,
+) -> World {
+    let mut world = World::with_size(43, controllers, 12);
+    let tasks = workers * TASKS_PER_WORKER;
+    world.add_user_in_zone(1, 5.0, (tasks, run_s, is_service, false), Some("a"), None);
+    while world.running_tasks_of(&[1]) < tasks as usize {
+        assert!(world.now < 60.0, "the tasks were not started");
+        world.run_until(world.now + 0.25);
+    }
+    world.run_until(world.now + 4.0);
+    world
+}
+
+/// Returns a world with a single worker that a service or an array fills. The tasks of the array are so short that the
+/// forecast of starts needs no further worker.
+fn world_with_one_worker(is_service: bool, controllers: usize) -> World {
+    let world = world_with_busy_workers(1, (is_service, 10.0), controllers);
+    assert_eq!(world.instance_count(), 1, "number of instances at first");
+    world
+}
+
+/// Returns the names of the workers that run tasks.
+fn busy_workers(world: &World) -> BTreeSet<String> {
+    let mut names = world.instances_in("a", false);
+    names.retain(|name| world.tasks_on(name) > 0);
+    names
+}
+
+/// Asserts that the jobs have completed a lease and `MAX_WAIT_S` after the fault, and that no rule was broken.
+fn assert_jobs_end(world: &mut World, name: &str) {
+    world.run_until(world.now + LEASE_S + MAX_WAIT_S);
+    world.check(name);
+}
+
+/// Guards against a silent worker that counts as capacity for ever: with no other worker in contact, its silence was
+/// taken for a partition, and the tasks that had run on it waited for ever.
+#[test]
+fn tasks_of_the_only_worker_run_elsewhere_after_it_has_failed() {
+    type Inject = fn(&mut World);
+    let cases: [(&str, Inject); 5] = [
+        ("taken back without notice", |world| {
+            assert!(world.reclaim_instance());
+        }),
+        (
+            "taken back without notice, and the leader restarts",
+            |world| {
+                assert!(world.reclaim_instance());
+                assert!(world.restart_leader(4.0));
+            },
+        ),
+        ("disconnected", |world| {
+            assert!(world.disconnect_worker(0, FOR_EVER_S).is_some());
+        }),
+        ("hung", |world| {
+            world.hang_workers("a", FOR_EVER_S);
+        }),
+        ("receives nothing", |world| {
+            assert!(world.block_traffic_to_worker(0, FOR_EVER_S).is_some());
+        }),
+    ];
+    for (name, inject) in cases {
+        for (is_service, controllers) in [(false, 3), (true, 3), (true, 5)] {
+            let name = format!("{name}, service: {is_service}, {controllers} controllers");
+            let mut world = world_with_one_worker(is_service, controllers);
+            inject(&mut world);
+            assert_jobs_end(&mut world, &name);
+        }
+    }
+}
+
+/// The other side of the release of silent workers: a partition between the controllers and all workers, also those that
+/// are rented meanwhile, does not get the fleet released as long as its tasks wait, and no task runs twice when the
+/// partition ends. In a small fleet, the workers whose heartbeats are missed first are released before the silence of
+/// most shows a partition.
+#[test]
+fn a_partition_from_all_workers_does_not_release_the_fleet() {
+    // The last fleet is large enough for its zone to be found partitioned.
+    for (workers, leases) in [(1, 0.8), (1, 2.0), (2, 5.0), (4, 5.0), (8, 2.0), (8, 6.0)] {
+        for is_service in [false, true] {
+            let name = format!("{workers} workers, {leases} leases, service: {is_service}");
+            let mut world = world_with_busy_workers(workers, (is_service, 40.0), 3);
+            let busy = busy_workers(&world);
+            world.disconnect_all_workers(leases * LEASE_S);
+            world.run_until(world.now + leases * LEASE_S);
+            let remaining = world.instances_in("a", false);
+            let released = busy.difference(&remaining).count();
+            assert!(
+                2 * released <= busy.len(),
+                "{name}: {released} workers released during the partition"
+            );
+            assert_jobs_end(&mut world, &name);
+        }
+    }
+}
+
+/// Guards against workers that are kept for ever because most workers are silent, or that keep their zone partitioned:
+/// most or all workers of a zone fall silent for good, and new ones are in contact. The tasks run on others, and the
+/// silent workers are released.
+#[test]
+fn silent_workers_are_replaced_although_most_are_silent() {
+    // In the last case, the cloud has no capacity for others while it has the silent ones.
+    for (workers, silent) in [(2, 2), (4, 3), (5, 4), (8, 7), (8, 8), (12, 12)] {
+        for is_service in [false, true] {
+            let name = format!("{silent} of {workers} workers, service: {is_service}");
+            let mut world = world_with_busy_workers(workers, (is_service, 40.0), 3);
+            let disconnected: Vec<String> = (0..silent)
+                .filter_map(|nth| world.disconnect_worker(nth, FOR_EVER_S))
+                .collect();
+            assert_jobs_end(&mut world, &name);
+            let kept = disconnected.iter().filter(|name| world.has_instance(name));
+            assert_eq!(kept.count(), 0, "{name}: silent workers that are kept");
+        }
+    }
+}
+
+/// A fleet that is silent for good and that no task waits for is released.
+#[test]
+fn silent_workers_that_nothing_waits_for_are_released() {
+    for controllers in [3, 5] {
+        let mut world = world_with_one_worker(true, controllers);
+        let names = world.instances_in("a", false);
+        assert!(world.disconnect_worker(0, FOR_EVER_S).is_some());
+        world.cancel_job_at(1, world.now + 0.5);
+        world.run_until(world.now + LEASE_S + MAX_WAIT_S);
+        let kept: Vec<&String> = names
+            .iter()
+            .filter(|name| world.has_instance(name))
+            .collect();
+        assert!(kept.is_empty(), "{controllers} controllers: kept {kept:?}");
+        world.check("a silent worker that nothing waits for");
+    }
+}
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -354,6 +354,15 @@
         }
     }
 
+    /// Blocks all messages from and to all workers, those that boot meanwhile included.
+    pub fn disconnect_all_workers(&mut self, for_s: f64) {
+        let until = self.now + for_s;
+        self.new_workers_disconnected_until = until;
+        for worker in self.workers.values_mut() {
+            worker.disconnected_until = until;
+        }
+    }
+
     /// Makes the load balancer send the users' requests to controllers other than the leader. Returns false if there
     /// is no leader.
     pub fn divert_users_from_leader(&mut self, for_s: f64) -> bool {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -141,6 +141,8 @@
     requests_before_timers: Vec<bool>,
     /// For each controller, until when the load balancer sends no user requests to it.
     users_avoid_until: Vec<f64>,
+    /// Until when workers that boot are disconnected from the beginning.
+    new_workers_disconnected_until: f64,
     /// Until when listings get no responses.
     listings_hang_until: f64,
     /// For each controller, the highest correlation id of its committed transactions that have writes.
@@ -223,6 +225,7 @@
             watch_limited_until: vec![0.0; controllers],
             requests_before_timers: vec![false; controllers],
             users_avoid_until: vec![0.0; controllers],
+            new_workers_disconnected_until: 0.0,
             listings_hang_until: 0.0,
             newest_txn: BTreeMap::new(),
             peer_connections_refused_until: 0.0,
