Leader: a drained worker takes tasks again, whatever consolidation does

Cause: only a round of consolidation reset `Worker::draining`, and it returns before that while replicas wait, which they did because the worker was draining; also without replicas in the zone, after an election and after a partition.

Change: the leader's regular check ends a drain once the worker has been empty for half a heartbeat interval, and after a lease in any case.

--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -27,8 +27,8 @@
     pub endpoint: String,
     /// The instance is to be deleted: no more tasks are placed on the worker.
     pub terminating: bool,
-    /// Since when the worker's service replicas are being moved to other workers; `None` if they are not. No task is
-    /// placed on the worker meanwhile.
+    /// Since when the worker's service replicas are being moved to other workers; `None` if they are not, or no longer.
+    /// No task is placed on the worker meanwhile.
     pub draining_since: Option<f64>,
     /// The termination is committed to the state service, so that the delete request may be sent.
     pub termination_recorded: bool,
--- a/src/coordination/leader/availability.rs
+++ b/src/coordination/leader/availability.rs
@@ -12,9 +12,15 @@
 use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::workers::{UnavailableReason, Worker};
 
+/// Time for which a drained worker stays empty before it takes tasks again, in heartbeat intervals: long enough for the
+/// replicas that were on it to be bound to other workers.
+const DRAINED_HEARTBEATS: f64 = 0.5;
+
 impl Leader {
-    /// Updates which workers are silent, and since when and why each worker can't take tasks.
+    /// Ends the states that time ends, and updates which workers are silent, and since when and why each worker can't
+    /// take tasks.
     pub(super) fn update_availability(&mut self, now: f64) {
+        self.end_drains(now);
         let missed_s = MISSED_HEARTBEATS * self.fleet.heartbeat_interval_s;
         for worker in self.workers.iter_mut() {
             let silent_since = self.leases.silent_since(worker);
@@ -29,6 +35,23 @@
         }
     }
 
+    /// Lets drained workers take tasks again: those that have been empty for some time, and those that are not empty
+    /// after a lease. If the replicas found no other place, they may return.
+    fn end_drains(&mut self, now: f64) {
+        let empty_s = DRAINED_HEARTBEATS * self.fleet.heartbeat_interval_s;
+        let lease_s = self.settings.deployment.workers.lease_s;
+        for worker in self.workers.iter_mut() {
+            let Some(since) = worker.draining_since else {
+                continue;
+            };
+            let is_drained = worker.bindings.is_empty() && now - worker.idle_since > empty_s;
+            if is_drained || now - since > lease_s {
+                tracing::info!(worker = worker.name, after_s = now - since, "drain ended");
+                worker.draining_since = None;
+            }
+        }
+    }
+
     /// Whether a worker counts as capacity of its pool: it can take tasks, or is expected to within a bounded time.
     pub(super) fn counts_as_capacity(&self, worker: &Worker, now: f64) -> bool {
         let Some(reason) = worker.unavailable_reason() else {
--- a/src/coordination/leader/consolidation.rs
+++ b/src/coordination/leader/consolidation.rs
@@ -9,8 +9,7 @@
 impl Leader {
     /// Drains the least used on-demand worker of a zone among those on which all tasks are running replicas, if it is
     /// sparsely used and the zone's other on-demand workers in use have room for its replicas and for
-    /// `headroom_replicas` more. `request` is what one replica requests on average. Workers that have become empty
-    /// are no longer marked as draining.
+    /// `headroom_replicas` more. `request` is what one replica requests on average.
     pub(super) fn consolidate(
         &mut self,
         zone: &str,
@@ -18,11 +17,6 @@
         request: &Resources,
         now: f64,
     ) {
-        for worker in self.workers.iter_mut() {
-            if worker.bindings.is_empty() {
-                worker.draining_since = None;
-            }
-        }
         let capacity = |worker: &Worker| {
             let instance_type = self
                 .instance_types
--- a/tests/unavailable_workers.rs
+++ b/tests/unavailable_workers.rs
@@ -150,3 +150,55 @@
         world.check("a silent worker that nothing waits for");
     }
 }
+
+/// Usual boot time in the tests of consolidation. It makes rounds of the autoscaler rare, and idle workers are kept for
+/// longer than it takes to notice a failed one.
+const LISTED_BOOT_TIME_S: f64 = 25.0;
+/// Numbers of the services in the tests of consolidation, each of one replica.
+const SERVICES: std::ops::RangeInclusive<u32> = 1..=5;
+
+/// Guards against a drained worker that is never used again: consolidation moves the replica of one worker to another,
+/// which has just failed, so that replicas wait. While any waited, no drained worker became usable. It must
+/// within a lease, unless it is released because the failure of the other is not known yet.
+#[test]
+fn a_drained_worker_is_used_again_if_replicas_wait() {
+    let mut used_again = 0;
+    // The other worker fails at different times before and after the decision to move the replica.
+    for quarter_seconds in 0..20 {
+        let mut world = World::with_size(44, 3, 3);
+        world.listed_boot_time_s = LISTED_BOOT_TIME_S;
+        for n in SERVICES {
+            world.add_user_in_zone(n, 5.0, (1, 0.0, true, false), Some("a"), None);
+        }
+        world.run_until(25.0);
+        let mut workers: Vec<String> = busy_workers(&world).into_iter().collect();
+        workers.sort_by_key(|name| world.tasks_on(name));
+        let [emptier, fuller] = &workers[..] else {
+            panic!("the services run on {} workers", workers.len());
+        };
+        assert_eq!(world.tasks_on(fuller), TASKS_PER_WORKER as usize);
+        let on_fuller: Vec<u32> = SERVICES.filter(|n| world.runs_job_on(fuller, *n)).collect();
+        for n in on_fuller.into_iter().take(2) {
+            world.cancel_job_at(n, world.now);
+        }
+        world.run_until(world.now + 0.25 * f64::from(quarter_seconds));
+        let was_busy = world.tasks_on(emptier) > 0;
+        world.lose_instance(fuller);
+        let drained_by = world.now + 0.5 * LEASE_S;
+        while world.tasks_on(emptier) > 0 && world.now < drained_by {
+            world.run_until(world.now + 0.25);
+        }
+        let name = format!("failure after {quarter_seconds} quarters of a second");
+        if was_busy && world.tasks_on(emptier) == 0 {
+            world.run_until(world.now + LEASE_S);
+            let is_used = world.tasks_on(emptier) > 0;
+            used_again += u32::from(is_used);
+            assert!(
+                is_used || !world.has_instance(emptier),
+                "{name}: the drained worker is neither used nor released"
+            );
+        }
+        assert_jobs_end(&mut world, &name);
+    }
+    assert!(used_again > 0, "no drained worker was used again");
+}
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -20,7 +20,7 @@
                 image_pull_gb_per_s: 1.0,
                 on_demand_price: 1.0,
                 spot_price: Some(0.3),
-                boot_time_s: 5.0,
+                boot_time_s: self.listed_boot_time_s,
                 zones: vec!["a".into(), "b".into()],
             }]),
             CloudRequest::CreateInstances(request) => {
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -203,6 +203,11 @@
         true
     }
 
+    /// Removes a running instance, with all tasks on it.
+    pub fn lose_instance(&mut self, name: &str) {
+        self.remove_instance(name);
+    }
+
     /// Removes up to `count` running instances of a zone. Returns how many were removed.
     pub fn lose_instances(&mut self, zone: &str, count: usize) -> usize {
         let in_zone = self.workers.values().filter(|w| w.zone == zone);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -141,6 +141,8 @@
     requests_before_timers: Vec<bool>,
     /// For each controller, until when the load balancer sends no user requests to it.
     users_avoid_until: Vec<f64>,
+    /// The usual boot time that the cloud states for its instance type.
+    pub listed_boot_time_s: f64,
     /// Until when workers that boot are disconnected from the beginning.
     new_workers_disconnected_until: f64,
     /// Until when listings get no responses.
@@ -225,6 +227,7 @@
             watch_limited_until: vec![0.0; controllers],
             requests_before_timers: vec![false; controllers],
             users_avoid_until: vec![0.0; controllers],
+            listed_boot_time_s: 5.0,
             new_workers_disconnected_until: 0.0,
             listings_hang_until: 0.0,
             newest_txn: BTreeMap::new(),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -529,6 +529,12 @@
         }
     }
 
+    /// Returns whether a task of job number `n` runs on a worker.
+    pub fn runs_job_on(&self, name: &str, n: u32) -> bool {
+        let id = format!("j-{n:06}");
+        self.workers.get(name).is_some_and(|w| w.runs_job(&id))
+    }
+
     /// Returns the number of tasks that run on a worker, 0 if the worker does not exist.
     pub fn tasks_on(&self, name: &str) -> usize {
         self.workers.get(name).map_or(0, |w| w.running().count())
