--- a/tests/unavailable_workers.rs
+++ b/tests/unavailable_workers.rs
@@ -202,3 +202,18 @@
     }
     assert!(used_again > 0, "no drained worker was used again");
 }
+
+/// Guards against consolidation that compares sizes on average only: a replica that fits on none of the other workers was
+/// stopped to be moved there, started again on a new worker, and so on, with no disruption at all.
+#[test]
+fn a_replica_that_fits_nowhere_else_is_not_moved() {
+    let mut world = World::with_size(45, 3, 3);
+    // The last replica fills half of a worker. The others leave room for two replicas of average size, but not for it.
+    for n in 1..=4 {
+        world.add_replica(n, 5.0, "a", (1.0, 4.2));
+    }
+    world.add_replica(5, 15.0, "a", (1.0, 16.0));
+    world.run_until(120.0);
+    assert_eq!(world.starts, 5, "starts of the five replicas");
+    world.check("replicas of different sizes");
+}
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -225,6 +225,25 @@
         self.schedule_at(at, SimEvent::UserActs(index));
     }
 
+    /// Adds a user with a service of one replica in a zone, which requests these amounts.
+    pub fn add_replica(&mut self, n: u32, at: f64, zone: &'static str, (cpus, ram_gb): (f64, f64)) {
+        self.add_user_in_zone(n, at, (1, 0.0, true, false), Some(zone), None);
+        let mut fields = submission_fields(&format!("j-{n:06}"), 1, 0.0, true, false);
+        for (field, value) in &mut fields {
+            match *field {
+                "Cores" => *value = Value::Float(cpus),
+                "RamGb" => *value = Value::Float(ram_gb),
+                "Grove" => *value = Value::Text(zone.to_owned()),
+                "Spread" => *value = Value::Bool(false),
+                _ => {}
+            }
+        }
+        fields.push(("Grove", Value::Text(zone.to_owned())));
+        if let Some(user) = self.users.last_mut() {
+            user.body = submission_body(fields);
+        }
+    }
+
     /// Lets the user of job number `n` cancel it at exactly the time `at`, instead of when the user would next
     /// poll it.
     pub fn cancel_job_at(&mut self, n: u32, at: f64) {
