Leader: cordoned workers are replaced, and tried again after a bounded time

Cause: a cordon ends with a success on the worker or a verdict on its jobs; both need a task that can't start there, or another worker. The cordoned worker counted as capacity, so no other was requested.

Change: it does not count as capacity, and the cordon ends after a lease or 1.5 boot times, whichever is longer, by dropping the failures of jobs that have not succeeded elsewhere.

--- a/src/bookkeeping/failure_attribution.rs
+++ b/src/bookkeeping/failure_attribution.rs
@@ -3,7 +3,8 @@
 //! A single failure does not show whether the worker or the job is at fault; a comparison of several does. A job that
 //! fails on several workers without any success is crash-looping, and its failures don't count against the workers. A
 //! worker is faulty, and is quarantined, if jobs fail on it that succeed elsewhere. A worker on which several jobs fail
-//! is cordoned, which means that it gets no more tasks, until it is known whether these jobs succeed elsewhere.
+//! is cordoned, which means that it gets no more tasks, until it is known whether these jobs succeed elsewhere. If that
+//! does not become known, the leader ends the cordon after some time.
 
 use std::collections::BTreeMap;
 
@@ -142,6 +143,13 @@
         self.jobs.remove(job);
     }
 
+    /// Drops the failures of jobs that have not succeeded on another worker: what they show of this worker is still not
+    /// known after a long time.
+    pub fn drop_unproven(&mut self) {
+        self.jobs
+            .retain(|_, job_failures| job_failures.job_works_elsewhere);
+    }
+
     /// Records that a task completed on this worker, which is therefore not faulty.
     pub fn record_success(&mut self) {
         self.jobs.clear();
--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -53,6 +53,8 @@
     pub last_heartbeat_at: Option<f64>,
     /// The worker has missed its latest heartbeat, as of the leader's latest check.
     pub is_silent: bool,
+    /// Since when the worker is cordoned, as of the leader's latest check; `None` if it is not.
+    pub cordoned_since: Option<f64>,
     /// Why and since when the worker can't take tasks, as of the leader's latest check; `None` if it can.
     pub unavailability: Option<Unavailability>,
     /// Since when the worker may be unreachable, because a direct call was not answered or the worker has begun a new
@@ -104,6 +106,7 @@
             first_heartbeat_at: None,
             last_heartbeat_at: None,
             is_silent: false,
+            cordoned_since: None,
             unavailability: None,
             unreachable_since: None,
             reclaim_at: None,
--- a/src/coordination/leader/availability.rs
+++ b/src/coordination/leader/availability.rs
@@ -21,6 +21,7 @@
     /// take tasks.
     pub(super) fn update_availability(&mut self, now: f64) {
         self.end_drains(now);
+        self.end_cordons(now);
         let missed_s = MISSED_HEARTBEATS * self.fleet.heartbeat_interval_s;
         for worker in self.workers.iter_mut() {
             let silent_since = self.leases.silent_since(worker);
@@ -52,6 +53,37 @@
         }
     }
 
+    /// Lets workers take tasks again that have been cordoned for long.
+    fn end_cordons(&mut self, now: f64) {
+        for worker in self.workers.iter_mut() {
+            let since = worker.cordoned_since.unwrap_or(now);
+            worker.cordoned_since = worker.failures.is_cordoned().then_some(since);
+        }
+        let over: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|worker| self.is_cordon_over(worker, now))
+            .map(|worker| worker.name.clone())
+            .collect();
+        for name in over {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                tracing::info!(worker = name, "cordon ended");
+                worker.failures.drop_unproven();
+                worker.cordoned_since = None;
+            }
+        }
+    }
+
+    /// Whether a worker has been cordoned for the time of a lease, for which the jobs that failed there avoid it too,
+    /// and for the time in which another instance boots, which shows whether these jobs succeed elsewhere.
+    fn is_cordon_over(&self, worker: &Worker, now: f64) -> bool {
+        let lease_s = self.settings.deployment.workers.lease_s;
+        let boot_s = BOOT_OVERDUE_FACTOR * self.usual_boot_time_s(worker);
+        worker
+            .cordoned_since
+            .is_some_and(|since| now - since > lease_s.max(boot_s))
+    }
+
     /// Whether a worker counts as capacity of its pool: it can take tasks, or is expected to within a bounded time.
     pub(super) fn counts_as_capacity(&self, worker: &Worker, now: f64) -> bool {
         let Some(reason) = worker.unavailable_reason() else {
@@ -68,14 +100,14 @@
     /// Returns the time until which a worker that can't take tasks is expected to become available.
     fn expected_available_by(&self, worker: &Worker, reason: UnavailableReason, now: f64) -> f64 {
         match reason {
-            UnavailableReason::Terminating | UnavailableReason::ReclaimAnnounced => {
-                f64::NEG_INFINITY
-            }
+            // Another worker also shows whether the jobs that failed on a cordoned one succeed elsewhere.
+            UnavailableReason::Terminating
+            | UnavailableReason::ReclaimAnnounced
+            | UnavailableReason::Cordoned => f64::NEG_INFINITY,
             UnavailableReason::NoHeartbeat => self.expected_up_by(worker),
             UnavailableReason::Silent
             | UnavailableReason::Unreachable
             | UnavailableReason::EpochNotAcknowledged
-            | UnavailableReason::Cordoned
             | UnavailableReason::Draining => self.expected_back_by(worker, now),
         }
     }
--- a/tests/unavailable_workers.rs
+++ b/tests/unavailable_workers.rs
@@ -217,3 +217,40 @@
     assert_eq!(world.starts, 5, "starts of the five replicas");
     world.check("replicas of different sizes");
 }
+
+/// Guards against a cordoned worker that is kept for ever: several jobs fail on the only worker, so it gets no more tasks
+/// until one completes there, and none is started there. Another worker takes its place, or it is tried again.
+#[test]
+fn tasks_that_failed_on_the_only_worker_run() {
+    // Each case: for how long the worker is faulty, and the number of instances that the cloud has in a pool.
+    let cases = [(6.0, 3), (6.0, 1), (FOR_EVER_S, 3)];
+    for (faulty_s, pool) in cases {
+        for is_service in [false, true] {
+            let name =
+                format!("faulty for {faulty_s} s, service: {is_service}, {pool} instances a pool");
+            let mut world = World::with_size(46, 3, pool);
+            for n in SERVICES.take(TASKS_PER_WORKER as usize) {
+                world.add_user_in_zone(n, 5.0, (1, 6.0, is_service, false), Some("a"), None);
+            }
+            let faulty = loop {
+                world.run_until(world.now + 0.05);
+                if let Some(faulty) = world.make_worker_faulty(0) {
+                    break faulty;
+                }
+            };
+            world.run_until(world.now + 6.0);
+            assert!(
+                world.failures_on(&faulty) >= 3,
+                "{name}: too few failures on the faulty worker"
+            );
+            if faulty_s < FOR_EVER_S {
+                world.repair_worker(&faulty);
+            }
+            assert_jobs_end(&mut world, &name);
+            assert!(
+                faulty_s < FOR_EVER_S || !world.has_instance(&faulty),
+                "{name}: the faulty worker is kept"
+            );
+        }
+    }
+}
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -511,6 +511,13 @@
         Some(worker.name.clone())
     }
 
+    /// Ends the fault of [`World::make_worker_faulty`].
+    pub fn repair_worker(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.faulty = false;
+        }
+    }
+
     /// Blocks all messages from and to the worker at position `nth`, in the order of names. Returns its name, or
     /// `None` if there are not enough workers.
     pub fn disconnect_worker(&mut self, nth: usize, for_s: f64) -> Option<String> {
