Soak: services of the limited team request at most its limit

Cause: with four machines the limit is 13 CPUs, and services of up to 16 were drawn for this team.

Change: the number of replicas is capped by the limit. The draws are the same ones, so the schedules of larger fleets don't change. No check is changed.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -296,7 +296,12 @@
             return;
         }
         self.job_number += 1;
-        let (spec, cancel) = draw_job(self.job_number, &self.clock, &mut oracle.rng);
+        let (spec, cancel) = draw_job(
+            self.job_number,
+            oracle.team_cpus,
+            &self.clock,
+            &mut oracle.rng,
+        );
         self.background_tasks
             .spawn(self.users.clone().simulate_user(spec, cancel));
     }
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -63,8 +63,14 @@
     )
 }
 
-/// Draws a job, and the time from its acceptance to its cancellation; `None` if its user does not cancel it.
-pub fn draw_job(number: u64, clock: &Clock, rng: &mut SmallRng) -> (Spec, Option<f64>) {
+/// Draws a job, and the time from its acceptance to its cancellation; `None` if its user does not cancel it. A service of
+/// the team with a limit of `team_cpus` requests at most that limit: a larger one could never run, and is rejected.
+pub fn draw_job(
+    number: u64,
+    team_cpus: f64,
+    clock: &Clock,
+    rng: &mut SmallRng,
+) -> (Spec, Option<f64>) {
     let is_service = rng.random_bool(SERVICE_SHARE);
     let tasks = if is_service {
         rng.random_range(1..=4)
@@ -72,7 +78,7 @@
         rng.random_range(1..=8)
     };
     let zone = rng.random_bool(0.1).then(|| ZONES[rng.random_range(0..2)]);
-    let spec = Spec {
+    let mut spec = Spec {
         id: format!("j-{number:06}"),
         tasks,
         is_service,
@@ -89,6 +95,10 @@
         run_s: clock.scaled(rng.random_range(5.0..60.0)),
         image: format!("img-{}", rng.random_range(0..5)),
     };
+    if is_service && spec.team == TEAM {
+        let most = (team_cpus / spec.cpus).floor().max(1.0) as u32;
+        spec.tasks = spec.tasks.min(most);
+    }
     let is_cancelled = is_service || rng.random_bool(CANCEL_SHARE);
     let after_s = if rng.random_bool(EARLY_CANCEL_SHARE) {
         rng.random_range(0.0..3.0)
