Leader: keep workers whose tasks go on although they can't be called

A worker that most others resemble in not answering direct calls was released after three leases when nothing waited, even if its heartbeats arrived and its tasks went on. Only workers without tasks are released that way now.

--- a/src/coordination/leader/availability.rs
+++ b/src/coordination/leader/availability.rs
@@ -2,7 +2,7 @@
 //! ends, and decides for how long a worker that can't take tasks still counts as capacity of its pool. While it counts,
 //! the pool waits for it; afterwards the pool requests another instance for the tasks that wait.
 //!
-//! What ends each state, and the bounds, are listed in docs/design.md.
+//! What sets and ends each state is listed in docs/incidents/2026-12-04-silent-workers.md.
 
 use super::Leader;
 use super::failure_detection::{
@@ -127,12 +127,13 @@
     }
 
     /// Returns the time until which a worker that was up is expected to take tasks again. By the end of its lease its
-    /// tasks have ended. A worker that is kept because of a partition is expected for as long as it is kept.
+    /// tasks have ended. A worker that is kept because of a partition is expected for longer.
     fn expected_back_by(&self, worker: &Worker, now: f64) -> f64 {
+        let unavailable_since = now - worker.unavailable_s(now);
         if self.is_kept_during_partition(worker, now) {
-            return f64::INFINITY;
+            let lease_s = self.settings.deployment.workers.lease_s;
+            return unavailable_since + PARTITION_LEASES * lease_s;
         }
-        let unavailable_since = now - worker.unavailable_s(now);
         let lease_end = self.leases.expires_at(worker);
         lease_end.min(unavailable_since + self.max_absence_s(worker))
     }
--- a/src/coordination/leader/failure_detection.rs
+++ b/src/coordination/leader/failure_detection.rs
@@ -9,7 +9,7 @@
 /// Time after which an instance that is not up is released, in units of its usual boot time.
 pub(super) const BOOT_TIMEOUT_FACTOR: f64 = 2.5;
 /// Time after which an instance that the cloud no longer lists counts as lost, in units of the list lag (the time by
-/// which the cloud's list may be out of date). The usual boot time is added to it.
+/// which the cloud's list may be out of date). The usual boot time is added to it for an instance that never came up.
 const LIST_LAGS_UNTIL_LOST: f64 = 4.0;
 /// Time without a heartbeat after which a worker counts as having missed one, in heartbeat intervals. The usual
 /// variation of the intervals does not explain so long a gap.
@@ -86,7 +86,7 @@
             .workers
             .iter()
             .filter(|worker| worker.has_been_up && !worker.terminating)
-            .filter(|worker| self.has_been_unavailable_for_long(worker, now))
+            .filter(|worker| self.is_long_lost(worker, now))
             .filter(|worker| self.fleet.is_blocked(&PoolKey::of(worker), now))
             .max_by(|a, b| a.unavailable_s(now).total_cmp(&b.unavailable_s(now)))
             .map(|worker| worker.name.clone());
@@ -97,8 +97,8 @@
     }
 
     /// Returns the reason to release a worker; `None` if there is none. While this controller `is_isolated`, or while
-    /// a worker is kept because of a partition, the worker's silence is no reason, unless the worker has not been of
-    /// use for long and nothing waits for it.
+    /// a worker is kept because of a partition, the worker's silence is no reason, unless the worker need not be kept
+    /// any longer.
     fn removal_reason(
         &self,
         worker: &Worker,
@@ -188,17 +188,19 @@
         }
     }
 
-    /// Whether a worker that is kept because this controller may be isolated need not be kept any longer: it has not
-    /// been available for long, and other workers are in contact or no task waits for capacity. Otherwise it is kept,
-    /// since a partition that ends would bring it back.
+    /// Whether a worker that is kept because this controller may be isolated need not be kept any longer: it is long
+    /// lost, and other workers are in contact or no task waits for capacity. Otherwise it is kept, since a partition that
+    /// ends would bring it back.
     fn is_hold_over(&self, worker: &Worker, now: f64) -> bool {
-        self.has_been_unavailable_for_long(worker, now)
+        self.is_long_lost(worker, now)
             && (!self.has_lost_all_workers() || self.scheduling.pending_demand.is_empty())
     }
 
-    /// Whether a worker has been unavailable for longer than workers are kept because of a partition.
-    fn has_been_unavailable_for_long(&self, worker: &Worker, now: f64) -> bool {
-        worker.unavailable_s(now) > PARTITION_LEASES * self.settings.deployment.workers.lease_s
+    /// Whether a worker has no tasks and has been unavailable for longer than workers are kept because of a partition.
+    /// The tasks of a worker that can't be called, but whose lease is renewed, go on.
+    fn is_long_lost(&self, worker: &Worker, now: f64) -> bool {
+        let max_s = PARTITION_LEASES * self.settings.deployment.workers.lease_s;
+        worker.bindings.is_empty() && worker.unavailable_s(now) > max_s
     }
 
     /// Returns the usual boot time of a worker's instance type, in seconds; the heartbeat interval if the type is not
