Autoscaler: only pools that a job may use make room for it

Cause: the forecast of what running tasks release was one sum over all zones, instance types and kinds.

Change: it is kept by pool, and a job counts the pools that its tasks may run in.

--- a/src/coordination/leader/scaling/demand.rs
+++ b/src/coordination/leader/scaling/demand.rs
@@ -142,17 +142,21 @@
     }
 
     /// Whether the job's tasks may run on instances of a pool.
-    fn allows(&self, offer: &PoolOffer) -> bool {
+    fn may_run_in(&self, offer: &PoolOffer) -> bool {
         let spec = &self.job.spec;
         let zone = &offer.key.zone;
         let zones = &self.tasks_per_zone;
         let other_zone = spec.one_zone && !zones.is_empty() && !zones.contains_key(zone);
         spec.allows(&offer.key.instance_type, zone, offer.key.spot)
-            && (offer.key.spot || !self.waits_for_spot(offer))
             && !other_zone
             && self.tasks_in_zone(zone) < spec.zone_limit()
     }
 
+    /// Whether a task may be fitted onto an instance of a pool that is new or booting.
+    fn allows(&self, offer: &PoolOffer) -> bool {
+        self.may_run_in(offer) && (offer.key.spot || !self.waits_for_spot(offer))
+    }
+
     /// Returns the index of the offer to create an instance from; `None` if no offer is suitable. If the job spreads
     /// its replicas, offers in the zone with the fewest replicas come first; among these, the one with the lowest
     /// price per task.
@@ -188,8 +192,8 @@
 
 /// The rate at which bound tasks release capacity, and how much of that capacity pending tasks have claimed so far.
 struct ReleaseForecast {
-    /// CPUs released each second.
-    cpus_freed_per_s: f64,
+    /// CPUs released each second in each pool, in the order of the offers.
+    cpus_freed_per_s: Vec<f64>,
     /// Factor on the estimated time until a task gets capacity.
     margin: f64,
     /// The shortest usual boot time of all pools, in seconds.
@@ -199,17 +203,28 @@
 }
 
 impl ReleaseForecast {
-    /// Whether the task being considered needs no new instance: the workers in use will have capacity for the task in
-    /// time for its deadline, or sooner than a new instance would be up. Replicas always need capacity now.
-    fn serves(&self, request: &BinRequest) -> bool {
+    /// Returns the CPUs released each second that the tasks of a job may use.
+    fn cpus_freed_for(&self, request: &BinRequest, offers: &[PoolOffer]) -> f64 {
+        offers
+            .iter()
+            .zip(&self.cpus_freed_per_s)
+            .filter(|(offer, _)| request.may_run_in(offer))
+            .map(|(_, cpus_freed_per_s)| cpus_freed_per_s)
+            .sum()
+    }
+
+    /// Whether the task being considered needs no new instance: the workers in use, which release `cpus_freed_per_s` for
+    /// its job, will have capacity for the task in time for its deadline, or sooner than a new instance would be up.
+    /// Replicas always need capacity now.
+    fn serves(&self, request: &BinRequest, cpus_freed_per_s: f64) -> bool {
         let job = request.job;
         let queue_wait_s =
-            self.margin * self.cpus_ahead / self.cpus_freed_per_s.max(MIN_CPUS_FREED_PER_S);
+            self.margin * self.cpus_ahead / cpus_freed_per_s.max(MIN_CPUS_FREED_PER_S);
         let meets_deadline = job
             .deadline
             .is_some_and(|deadline| request.now + queue_wait_s + request.task_s <= deadline);
         let before_boot = queue_wait_s <= self.quickest_boot_s;
-        self.cpus_freed_per_s > 0.0 && !job.is_service() && (meets_deadline || before_boot)
+        cpus_freed_per_s > 0.0 && !job.is_service() && (meets_deadline || before_boot)
     }
 }
 
@@ -263,16 +278,19 @@
 
     /// Forecasts the capacity that bound tasks release by completing. Replicas never complete and don't count.
     fn release_forecast(&self, offers: &[PoolOffer]) -> ReleaseForecast {
-        let mut cpus_freed_per_s = 0.0;
+        let mut cpus_freed_per_s = vec![0.0; offers.len()];
         let mut running = 0_u32;
         for worker in self.workers.iter().filter(|worker| worker.is_schedulable()) {
+            let Some(pool) = offers.iter().position(|offer| offer.key.contains(worker)) else {
+                continue;
+            };
             for (task, binding) in &worker.bindings {
                 if let Some(job) = self.jobs.get(&task.job)
                     && !job.is_service()
                 {
                     let task_s = self.fleet.runtime_bias * job.spec.expected_runtime_s;
                     let min_task_s = self.fleet.heartbeat_interval_s / 2.0;
-                    cpus_freed_per_s += binding.request.cpus / task_s.max(min_task_s);
+                    cpus_freed_per_s[pool] += binding.request.cpus / task_s.max(min_task_s);
                     running += 1;
                 }
             }
@@ -304,9 +322,10 @@
     let spec = &request.job.spec;
     // Bins that are not suitable for one task of the job are not suitable for the next one either.
     let mut first = 0;
+    let mut cpus_freed_per_s = forecast.cpus_freed_for(&request, offers);
     for considered in 0..limit {
         forecast.cpus_ahead += spec.cpus;
-        if forecast.serves(&request) {
+        if forecast.serves(&request, cpus_freed_per_s) {
             continue;
         }
         let Some(found) = fit.find_bin(offers, first, &request) else {
@@ -319,6 +338,10 @@
         let offer = &offers[bin.pool];
         let zone = offer.key.zone.clone();
         *request.tasks_per_zone.entry(zone).or_default() += 1;
+        if spec.one_zone || spec.spread {
+            // The zones that the next task may run in can be others.
+            cpus_freed_per_s = forecast.cpus_freed_for(&request, offers);
+        }
         let share = request.resources.dominant_share(&offer.resources());
         fit.demand[bin.pool].add(spec, pending.oldest_wait_s, share);
     }
--- a/tests/unavailable_workers.rs
+++ b/tests/unavailable_workers.rs
@@ -254,3 +254,21 @@
         }
     }
 }
+
+/// Guards against demand that is left to workers which the job may not use: short tasks that end all the time in one zone
+/// were taken to make room for a job that may run in another zone only, so that no worker was requested for it.
+#[test]
+fn capacity_in_another_zone_serves_no_job() {
+    for spot in [false, true] {
+        let mut world = World::with_size(47, 3, 3);
+        world.add_guest_job(1, 5.0, (2000, 3.0));
+        world.restrict_last_job("b");
+        world.run_until(40.0);
+        let running = world.running_tasks_of(&[1]);
+        assert!(running > 10, "{running} tasks run in the other zone");
+        world.add_user_in_zone(2, 40.0, (2, 5.0, false, spot), Some("a"), None);
+        world.run_until(40.0 + 2.0 * LEASE_S);
+        let begun = world.users[1].first_started_at.is_some();
+        assert!(begun, "spot {spot}: no task began while the others ran");
+    }
+}
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -225,6 +225,19 @@
         self.schedule_at(at, SimEvent::UserActs(index));
     }
 
+    /// Restricts the job that was added last to a zone.
+    pub fn restrict_last_job(&mut self, zone: &'static str) {
+        let Some(user) = self.users.last_mut() else {
+            return;
+        };
+        let mut fields: Value = cbor::decode(&user.body).expect("the submission is no CBOR");
+        if let Value::Map(entries) = &mut fields {
+            entries.push((Value::Text("Grove".into()), Value::Text(zone.to_owned())));
+        }
+        user.body = cbor::encode(&fields);
+        user.zone = Some(zone);
+    }
+
     /// Adds a user with a service of one replica in a zone, which requests these amounts.
     pub fn add_replica(&mut self, n: u32, at: f64, zone: &'static str, (cpus, ram_gb): (f64, f64)) {
         self.add_user_in_zone(n, at, (1, 0.0, true, false), Some(zone), None);
