Leader: partitions in a module of their own, one look-up of instance types

`failure_detection` held two jobs in 300 lines: which workers are released, and which silence a partition explains. The second is `leader/partitions.rs` now; functions and constants are moved as they were. The look-up of a type's boot time stood three times.

--- a/src/coordination/leader/availability.rs
+++ b/src/coordination/leader/availability.rs
@@ -5,10 +5,9 @@
 //! What sets and ends each state is listed in docs/incidents/2026-12-04-silent-workers.md.
 
 use super::Leader;
-use super::failure_detection::{
-    BOOT_TIMEOUT_FACTOR, MISSED_HEARTBEATS, PARTITION_LEASES, RECONNECT_HEARTBEATS,
-};
+use super::failure_detection::{BOOT_TIMEOUT_FACTOR, MISSED_HEARTBEATS};
 use super::fleet::BOOT_OVERDUE_FACTOR;
+use super::partitions::{PARTITION_LEASES, RECONNECT_HEARTBEATS};
 use crate::bookkeeping::invariants::{self, Invariant};
 use crate::bookkeeping::workers::{UnavailableReason, Worker};
 
@@ -78,7 +77,7 @@
     /// and for the time in which another instance boots, which shows whether these jobs succeed elsewhere.
     fn is_cordon_over(&self, worker: &Worker, now: f64) -> bool {
         let lease_s = self.settings.deployment.workers.lease_s;
-        let boot_s = BOOT_OVERDUE_FACTOR * self.usual_boot_time_s(worker);
+        let boot_s = BOOT_OVERDUE_FACTOR * self.usual_boot_time_s(&worker.instance_type);
         worker
             .cordoned_since
             .is_some_and(|since| now - since > lease_s.max(boot_s))
@@ -116,7 +115,7 @@
     /// leader is expected to find this one. One that the cloud lists as running is expected until its boot times out.
     fn expected_up_by(&self, worker: &Worker) -> f64 {
         let found_leader_by = self.elected_at + self.max_absence_s(worker);
-        let boot_timeout_s = BOOT_TIMEOUT_FACTOR * self.usual_boot_time_s(worker);
+        let boot_timeout_s = BOOT_TIMEOUT_FACTOR * self.usual_boot_time_s(&worker.instance_type);
         if worker.has_been_up {
             found_leader_by
         } else if worker.listed_running {
@@ -150,7 +149,7 @@
 
     /// Returns the time from which an instance that is not up counts as overdue.
     pub(super) fn boot_overdue_at(&self, worker: &Worker) -> f64 {
-        worker.first_seen_at + BOOT_OVERDUE_FACTOR * self.usual_boot_time_s(worker)
+        worker.first_seen_at + BOOT_OVERDUE_FACTOR * self.usual_boot_time_s(&worker.instance_type)
     }
 
     /// Whether an instance is booting, and not overdue.
@@ -163,6 +162,8 @@
     /// Returns the longest time for which any worker of this type may count as capacity while it can't take tasks.
     fn max_unavailable_s(&self, worker: &Worker) -> f64 {
         let lease_s = self.settings.deployment.workers.lease_s;
-        PARTITION_LEASES * lease_s + BOOT_TIMEOUT_FACTOR * self.usual_boot_time_s(worker) + lease_s
+        PARTITION_LEASES * lease_s
+            + BOOT_TIMEOUT_FACTOR * self.usual_boot_time_s(&worker.instance_type)
+            + lease_s
     }
 }
--- a/src/coordination/leader/consolidation.rs
+++ b/src/coordination/leader/consolidation.rs
@@ -52,9 +52,7 @@
 
     /// Returns all resources of a worker; none if its instance type is not known.
     fn capacity(&self, worker: &Worker) -> Resources {
-        self.instance_types
-            .iter()
-            .find(|instance_type| instance_type.name == worker.instance_type)
+        self.instance_type(&worker.instance_type)
             .map(Resources::from)
             .unwrap_or_default()
     }
--- a/src/coordination/leader/fleet/provisioning.rs
+++ b/src/coordination/leader/fleet/provisioning.rs
@@ -289,13 +289,7 @@
     }
 
     fn block_pool(&mut self, pool: &PoolKey, now: f64) {
-        let boot_time_s = self
-            .instance_types
-            .iter()
-            .find(|instance_type| instance_type.name == pool.instance_type)
-            .map_or(self.fleet.heartbeat_interval_s, |instance_type| {
-                instance_type.boot_time_s
-            });
+        let boot_time_s = self.usual_boot_time_s(&pool.instance_type);
         self.fleet.block(pool, boot_time_s, now);
     }
 
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -15,7 +15,7 @@
 //! - `binding_reconciliation`: compares bindings with the tasks that heartbeats list; `bindings`: ends bindings
 //! - `failure_attribution`: decides whether a failed task is the fault of its worker or of its job;
 //!   `availability`: tracks for how long workers can't take tasks, and whether they still count as capacity;
-//!   `failure_detection`: finds failed workers, which are then released, and partitioned zones
+//!   `failure_detection`: finds failed workers, which are then released; `partitions`: finds partitioned zones
 //! - `fleet`: provisions and deletes instances; `scaling`: decides how many are needed; `consolidation`: moves
 //!   replicas together to empty a worker
 //! - `decision_log`: counts permitted and denied actions, and logs the counts
@@ -37,6 +37,7 @@
 mod heartbeats;
 mod jobs;
 mod leases;
+mod partitions;
 mod recovery;
 mod replay;
 mod scaling;
@@ -201,6 +202,21 @@
         self.scheduling.request();
     }
 
+    /// Returns an instance type; `None` if it is not known.
+    fn instance_type(&self, name: &str) -> Option<&InstanceType> {
+        self.instance_types
+            .iter()
+            .find(|instance_type| instance_type.name == name)
+    }
+
+    /// Returns the usual boot time of an instance type, in seconds; the heartbeat interval if the type is not known.
+    fn usual_boot_time_s(&self, instance_type: &str) -> f64 {
+        self.instance_type(instance_type)
+            .map_or(self.fleet.heartbeat_interval_s, |instance_type| {
+                instance_type.boot_time_s
+            })
+    }
+
     /// Whether the tables are still being recovered.
     pub fn is_recovering(&self) -> bool {
         self.recovery.is_some()
