Tests: random lasting faults in small fleets

Forty schedules of faults that never end (taken, disconnected, hung, deaf and faulty workers, restarts of the leader) in fleets of one to some workers; all jobs must end.

--- a/tests/unavailable_workers.rs
+++ b/tests/unavailable_workers.rs
@@ -3,11 +3,15 @@
 
 mod world;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
 use world::{LEASE_S, World};
 
 /// Time after which a job that could run must no longer be waiting: the users' bound, counted from the end of a lease.
 const MAX_WAIT_S: f64 = 90.0;
+/// Number of random schedules of faults.
+const RANDOM_SEEDS: u64 = 40;
 /// A time that is longer than any simulation.
 const FOR_EVER_S: f64 = 1e6;
 /// Number of tasks that fill a worker.
@@ -272,3 +276,37 @@
         assert!(begun, "spot {spot}: no task began while the others ran");
     }
 }
+
+/// Lasting faults of random workers in small fleets, some with a restart of the leader: all jobs end or run.
+#[test]
+fn random_lasting_faults_in_small_fleets() {
+    for seed in 0..RANDOM_SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let controllers = if rng.random_bool(0.5) { 3 } else { 5 };
+        let mut world = World::with_size(100 + seed, controllers, 4);
+        for n in 1..=rng.random_range(1..=4) {
+            let zone = [None, Some("a"), Some("b")][rng.random_range(0..3)];
+            let tasks = rng.random_range(1..=TASKS_PER_WORKER);
+            let is_service = rng.random_bool(0.5);
+            let shape = (tasks, rng.random_range(3.0..40.0), is_service, !is_service);
+            world.add_user_in_zone(n, rng.random_range(3.0..30.0), shape, zone, None);
+        }
+        world.run_until(rng.random_range(15.0..30.0));
+        let mut faults = Vec::new();
+        for _ in 0..rng.random_range(1..=4) {
+            let nth = rng.random_range(0..4);
+            let fault = rng.random_range(0..6);
+            match fault {
+                0 => drop(world.reclaim_instance()),
+                1 => drop(world.disconnect_worker(nth, FOR_EVER_S)),
+                2 => drop(world.block_traffic_to_worker(nth, FOR_EVER_S)),
+                3 => drop(world.make_worker_faulty(nth)),
+                4 => world.hang_workers(["a", "b"][nth % 2], FOR_EVER_S),
+                _ => drop(world.restart_leader(rng.random_range(0.1..12.0))),
+            }
+            faults.push(format!("{fault} at {:.1}", world.now));
+            world.run_until(world.now + rng.random_range(0.0..12.0));
+        }
+        assert_jobs_end(&mut world, &format!("seed {seed}, faults {faults:?}"));
+    }
+}
