Leader: a worker whose heartbeats don't arrive gets no more tasks

Cause: only a heartbeat that the worker sends by itself renews its lease, so its tasks end with each lease; but each response to a direct call counted as a sign of life, and the worker got its tasks again.

Change: after half a lease without an own heartbeat the worker is unavailable (NotReporting), counts as capacity until its lease ends, and is returned after three leases without tasks, under the conditions for silent workers.

--- a/src/bookkeeping/workers/availability.rs
+++ b/src/bookkeeping/workers/availability.rs
@@ -14,6 +14,8 @@
     NoHeartbeat,
     /// The worker has missed its latest heartbeat.
     Silent,
+    /// The worker answers direct calls, but its own heartbeats don't arrive: its lease is not renewed.
+    NotReporting,
     /// A direct call was not answered, or responses to heartbeats don't reach the worker.
     Unreachable,
     /// The worker has not shown this leader's epoch since its lease last expired.
@@ -45,6 +47,8 @@
             Some(UnavailableReason::NoHeartbeat)
         } else if self.is_silent {
             Some(UnavailableReason::Silent)
+        } else if self.is_not_reporting {
+            Some(UnavailableReason::NotReporting)
         } else if self.unreachable_since.is_some() {
             Some(UnavailableReason::Unreachable)
         } else if !self.token_acknowledged {
--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -51,8 +51,13 @@
     pub first_heartbeat_at: Option<f64>,
     /// When this leader received the worker's latest heartbeat; `None` before the first.
     pub last_heartbeat_at: Option<f64>,
+    /// When this leader received the latest heartbeat that the worker sent by itself, not in response to a direct call;
+    /// `None` before the first. Only such a heartbeat can renew the worker's lease.
+    pub last_reported_at: Option<f64>,
     /// The worker has missed its latest heartbeat, as of the leader's latest check.
     pub is_silent: bool,
+    /// The worker has sent no heartbeat by itself for half a lease, as of the leader's latest check.
+    pub is_not_reporting: bool,
     /// Since when the worker is cordoned, as of the leader's latest check; `None` if it is not.
     pub cordoned_since: Option<f64>,
     /// Why and since when the worker can't take tasks, as of the leader's latest check; `None` if it can.
@@ -105,7 +110,9 @@
             has_been_up: false,
             first_heartbeat_at: None,
             last_heartbeat_at: None,
+            last_reported_at: None,
             is_silent: false,
+            is_not_reporting: false,
             cordoned_since: None,
             unavailability: None,
             unreachable_since: None,
--- a/src/coordination/leader/availability.rs
+++ b/src/coordination/leader/availability.rs
@@ -15,16 +15,24 @@
 /// replicas that were on it to be bound to other workers.
 const DRAINED_HEARTBEATS: f64 = 0.5;
 
+/// Time without a heartbeat that a worker has sent by itself after which it gets no more tasks, in units of the worker
+/// lease. The tasks end with the lease, which only such heartbeats renew.
+const NOT_REPORTING_LEASES: f64 = 0.5;
+
 impl Leader {
-    /// Ends the states that time ends, and updates which workers are silent, and since when and why each worker can't
-    /// take tasks.
+    /// Ends the states that time ends, and updates which workers are silent or don't report, and since when and why each
+    /// worker can't take tasks.
     pub(super) fn update_availability(&mut self, now: f64) {
         self.end_drains(now);
         self.end_cordons(now);
         let missed_s = MISSED_HEARTBEATS * self.fleet.heartbeat_interval_s;
+        let not_reporting_s = self.settings.deployment.workers.lease_s * NOT_REPORTING_LEASES;
         for worker in self.workers.iter_mut() {
             let silent_since = self.leases.silent_since(worker);
             worker.is_silent = silent_since.is_some_and(|since| now - since > missed_s);
+            let not_reporting_since = self.leases.not_reporting_since(worker);
+            worker.is_not_reporting =
+                not_reporting_since.is_some_and(|since| now - since > not_reporting_s);
             if worker.update_unavailability(now) {
                 let reason = worker.unavailability.map(|now| now.reason);
                 tracing::debug!(worker = worker.name, ?reason, "worker availability changed");
@@ -105,6 +113,7 @@
             | UnavailableReason::Cordoned => f64::NEG_INFINITY,
             UnavailableReason::NoHeartbeat => self.expected_up_by(worker),
             UnavailableReason::Silent
+            | UnavailableReason::NotReporting
             | UnavailableReason::Unreachable
             | UnavailableReason::EpochNotAcknowledged
             | UnavailableReason::Draining => self.expected_back_by(worker, now),
--- a/src/coordination/leader/failure_detection.rs
+++ b/src/coordination/leader/failure_detection.rs
@@ -77,6 +77,8 @@
             Some(ScaleInReason::Unresponsive)
         } else if silence_counts && self.is_unreachable(worker, now) {
             Some(ScaleInReason::Unreachable)
+        } else if worker.is_not_reporting && self.is_hold_over(worker, now) {
+            Some(ScaleInReason::Unresponsive)
         } else if worker.failures.is_quarantined() {
             Some(ScaleInReason::FailsTasks)
         } else if self.is_no_longer_listed(worker, boot_time_s) {
--- a/src/coordination/leader/heartbeats.rs
+++ b/src/coordination/leader/heartbeats.rs
@@ -237,6 +237,8 @@
     if path == HeartbeatPath::DirectResponse {
         return;
     }
+    worker.last_reported_at = Some(now);
+    worker.is_not_reporting = false;
     worker.lease_renewed_at = if worker.token_acknowledged {
         now
     } else {
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -112,6 +112,14 @@
         Some(last.max(self.receiving_since))
     }
 
+    /// Returns the time from which a worker counts as not reporting: its last own heartbeat, or its first response to a
+    /// direct call if it has sent none, or the end of the last stall of the event loop if that is later. `None` if the
+    /// worker has not been heard.
+    pub(super) fn not_reporting_since(&self, worker: &Worker) -> Option<f64> {
+        let last = worker.last_reported_at.or(worker.first_heartbeat_at)?;
+        Some(last.max(self.receiving_since))
+    }
+
     /// Returns the seconds for which no worker has shown that it receives this leader's responses; zero or less if no
     /// worker is expected to have done so yet.
     pub(super) fn worker_contact_lost_s(&self, workers: &Workers, now: f64) -> f64 {
--- a/src/coordination/leader/partitions.rs
+++ b/src/coordination/leader/partitions.rs
@@ -138,7 +138,9 @@
             .filter(|worker| worker.has_been_up && !worker.terminating)
             .peekable();
         were_up.peek().is_some()
-            && were_up.all(|worker| worker.is_silent || worker.unreachable_since.is_some())
+            && were_up.all(|worker| {
+                worker.is_silent || worker.is_not_reporting || worker.unreachable_since.is_some()
+            })
     }
 
     /// Whether most workers have missed their latest heartbeat, or can't be reached. A worker counts as silent before
--- a/tests/unavailable_workers.rs
+++ b/tests/unavailable_workers.rs
@@ -61,7 +61,7 @@
 #[test]
 fn tasks_of_the_only_worker_run_elsewhere_after_it_has_failed() {
     type Inject = fn(&mut World);
-    let cases: [(&str, Inject); 5] = [
+    let cases: [(&str, Inject); 6] = [
         ("taken back without notice", |world| {
             assert!(world.reclaim_instance());
         }),
@@ -78,6 +78,9 @@
         ("hung", |world| {
             world.hang_workers("a", FOR_EVER_S);
         }),
+        ("sends no heartbeats, but answers calls", |world| {
+            assert!(world.block_traffic_from_worker(0, FOR_EVER_S).is_some());
+        }),
         ("receives nothing", |world| {
             assert!(world.block_traffic_to_worker(0, FOR_EVER_S).is_some());
         }),
@@ -295,13 +298,14 @@
         let mut faults = Vec::new();
         for _ in 0..rng.random_range(1..=4) {
             let nth = rng.random_range(0..4);
-            let fault = rng.random_range(0..6);
+            let fault = rng.random_range(0..7);
             match fault {
                 0 => drop(world.reclaim_instance()),
                 1 => drop(world.disconnect_worker(nth, FOR_EVER_S)),
                 2 => drop(world.block_traffic_to_worker(nth, FOR_EVER_S)),
                 3 => drop(world.make_worker_faulty(nth)),
-                4 => world.hang_workers(["a", "b"][nth % 2], FOR_EVER_S),
+                4 => drop(world.block_traffic_from_worker(nth, FOR_EVER_S)),
+                5 => world.hang_workers(["a", "b"][nth % 2], FOR_EVER_S),
                 _ => drop(world.restart_leader(rng.random_range(0.1..12.0))),
             }
             faults.push(format!("{fault} at {:.1}", world.now));
@@ -310,3 +314,18 @@
         assert_jobs_end(&mut world, &format!("seed {seed}, faults {faults:?}"));
     }
 }
+
+/// Guards against a worker that gets tasks for ever and loses all of them with each lease: it answers direct calls, but its
+/// heartbeats reach no controller. Tasks that run for longer than a lease must end on another worker.
+#[test]
+fn tasks_end_although_the_only_worker_does_not_report() {
+    for controllers in [3, 5] {
+        let name = format!("{controllers} controllers");
+        let mut world = world_with_busy_workers(1, (false, 3.0 * LEASE_S), controllers);
+        let mute = world.block_traffic_from_worker(0, FOR_EVER_S);
+        let mute = mute.expect("there is no worker");
+        assert_jobs_end(&mut world, &name);
+        world.run_until(world.now + 2.0 * LEASE_S);
+        assert!(!world.has_instance(&mute), "{name}: the worker is kept");
+    }
+}
