Leader: less haste about workers that are late or don't report

Part of it was that workers late by 1.5 heartbeat intervals got no tasks before a call to them had failed, which the fixes don't need.

Change: a worker counts as silent after half a lease (a failed call makes it unreachable earlier, as before), an idle one is expected back for half a lease, and one that doesn't report gets no tasks after a lease instead of half. Booting instances count as future capacity as before, also under a new leader.

--- a/src/bookkeeping/workers/availability.rs
+++ b/src/bookkeeping/workers/availability.rs
@@ -12,7 +12,7 @@
     ReclaimAnnounced,
     /// This leader has received no heartbeat of the worker: it is booting, or has not found the leader yet.
     NoHeartbeat,
-    /// The worker has missed its latest heartbeat.
+    /// The leader has received no heartbeat of the worker for half a lease.
     Silent,
     /// The worker answers direct calls, but its own heartbeats don't arrive: its lease is not renewed.
     NotReporting,
--- a/src/bookkeeping/workers/worker.rs
+++ b/src/bookkeeping/workers/worker.rs
@@ -54,9 +54,9 @@
     /// When this leader received the latest heartbeat that the worker sent by itself, not in response to a direct call;
     /// `None` before the first. Only such a heartbeat can renew the worker's lease.
     pub last_reported_at: Option<f64>,
-    /// The worker has missed its latest heartbeat, as of the leader's latest check.
+    /// The leader has received no heartbeat of the worker for half a lease, as of its latest check.
     pub is_silent: bool,
-    /// The worker has sent no heartbeat by itself for half a lease, as of the leader's latest check.
+    /// The worker has sent no heartbeat by itself for a lease, as of the leader's latest check.
     pub is_not_reporting: bool,
     /// Since when the worker is cordoned, as of the leader's latest check; `None` if it is not.
     pub cordoned_since: Option<f64>,
--- a/src/coordination/leader/availability.rs
+++ b/src/coordination/leader/availability.rs
@@ -5,7 +5,7 @@
 //! What sets and ends each state is listed in docs/incidents/2026-12-04-silent-workers.md.
 
 use super::Leader;
-use super::failure_detection::{BOOT_TIMEOUT_FACTOR, MISSED_HEARTBEATS};
+use super::failure_detection::BOOT_TIMEOUT_FACTOR;
 use super::fleet::BOOT_OVERDUE_FACTOR;
 use super::partitions::{PARTITION_LEASES, RECONNECT_HEARTBEATS};
 use crate::bookkeeping::invariants::{self, Invariant};
@@ -15,9 +15,9 @@
 /// replicas that were on it to be bound to other workers.
 const DRAINED_HEARTBEATS: f64 = 0.5;
 
-/// Time without a heartbeat that a worker has sent by itself after which it gets no more tasks, in units of the worker
-/// lease. The tasks end with the lease, which only such heartbeats renew.
-const NOT_REPORTING_LEASES: f64 = 0.5;
+/// Time for which an idle worker that is unavailable is expected back, in units of the worker lease, unless workers need
+/// longer to find a leader.
+const IDLE_ABSENCE_LEASES: f64 = 0.5;
 
 impl Leader {
     /// Ends the states that time ends, and updates which workers are silent or don't report, and since when and why each
@@ -25,14 +25,13 @@
     pub(super) fn update_availability(&mut self, now: f64) {
         self.end_drains(now);
         self.end_cordons(now);
-        let missed_s = MISSED_HEARTBEATS * self.fleet.heartbeat_interval_s;
-        let not_reporting_s = self.settings.deployment.workers.lease_s * NOT_REPORTING_LEASES;
+        let lease_s = self.settings.deployment.workers.lease_s;
         for worker in self.workers.iter_mut() {
             let silent_since = self.leases.silent_since(worker);
-            worker.is_silent = silent_since.is_some_and(|since| now - since > missed_s);
+            worker.is_silent = silent_since.is_some_and(|since| now - since > lease_s / 2.0);
             let not_reporting_since = self.leases.not_reporting_since(worker);
             worker.is_not_reporting =
-                not_reporting_since.is_some_and(|since| now - since > not_reporting_s);
+                not_reporting_since.is_some_and(|since| now - since > lease_s);
             if worker.update_unavailability(now) {
                 let reason = worker.unavailability.map(|now| now.reason);
                 tracing::debug!(worker = worker.name, ?reason, "worker availability changed");
@@ -146,13 +145,16 @@
         lease_end.min(unavailable_since + self.max_absence_s(worker))
     }
 
-    /// Returns the longest time for which a worker is expected back: the time that workers need to find a leader, or a
-    /// lease if tasks are bound to it. The shorter time lets even a leader that soon resigns replace an idle worker.
+    /// Returns the longest time for which a worker is expected back: a lease if tasks are bound to it, else half a lease
+    /// or the time that workers need to find a leader. The shorter time lets even a leader that soon resigns replace an
+    /// idle worker.
     fn max_absence_s(&self, worker: &Worker) -> f64 {
+        let lease_s = self.settings.deployment.workers.lease_s;
         if worker.bindings.is_empty() {
-            RECONNECT_HEARTBEATS * self.fleet.heartbeat_interval_s
+            let reconnect_s = RECONNECT_HEARTBEATS * self.fleet.heartbeat_interval_s;
+            reconnect_s.max(IDLE_ABSENCE_LEASES * lease_s)
         } else {
-            self.settings.deployment.workers.lease_s
+            lease_s
         }
     }
 
@@ -164,7 +166,6 @@
     /// Whether an instance is booting, and not overdue.
     pub(super) fn is_booting(&self, worker: &Worker, now: f64) -> bool {
         worker.unavailable_reason() == Some(UnavailableReason::NoHeartbeat)
-            && !worker.has_been_up
             && now <= self.boot_overdue_at(worker)
     }
 
