Review, case 6: preemption for a guarantee takes another team below its own

Cause: each task that may be stopped is compared alone with its team's use at the begin of the cycle. Done: a case.

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -9,6 +9,7 @@
 mod lab;
 mod machine;
 mod nodes;
+mod over_preemption;
 mod preemption;
 mod record;
 mod site;
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match case.as_str() {
         "4" => preemption::run(trouble),
+        "6" => over_preemption::run(trouble),
         "5" => crash_loop::run(trouble),
         _ => Err(format!("no case {case:?}")),
     };
