Review, case 7: a huge array of small tasks costs its machine the lease again and again

Cause: a worker gets more tasks than its report can list within the limit of request bodies. Done: a case.

--- a/review/lab/machine.rs
+++ b/review/lab/machine.rs
@@ -161,7 +161,9 @@
             }
             Some(_) => Step::Fetching,
         };
-        self.record().line(&format!("{host}: start {step} try {attempt}: {state:?}"));
+        if !spec.as_ref().is_some_and(|spec| spec.is_huge()) {
+            self.record().line(&format!("{host}: start {step} try {attempt}: {state:?}"));
+        }
         if let Some(machine) = inner.machines.get_mut(host) {
             if let (Step::Fetching, Some(spec)) = (state, &spec) {
                 let fetched_at = now + spec.pull_gb / machine.pull_gb_per_s;
@@ -261,6 +263,14 @@
                 std::thread::sleep(timeout);
                 (self.scale, other)
             }
+            Some((400, _)) => {
+                let steps = report.get("Steps").list().len();
+                self.record().line(&format!(
+                    "{host}: report with {steps} tasks refused with 400, {} bytes as JSON",
+                    report.json_len()
+                ));
+                (self.scale, other)
+            }
             Some((421, body)) => {
                 let foreman = body.get("Foreman").str();
                 let named = (0..self.nodes.len()).find(|n| site::label(*n) == foreman && *n != node);
--- a/review/lab/world.rs
+++ b/review/lab/world.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Whether the job has so many tasks that the record has no line for each.
+    pub fn is_huge(&self) -> bool {
+        self.steps > 1000
+    }
+
     /// The body of POST /work.
     pub fn body(&self) -> Value {
         let text = Value::text;
@@ -312,7 +317,9 @@
         if next == exited("error") {
             machine.failed.insert(job.spec.id.clone());
         }
-        self.record.line(&format!("{name}: {} try {} {next:?}", task.name, task.attempt));
+        if !job.spec.is_huge() {
+            self.record.line(&format!("{name}: {} try {} {next:?}", task.name, task.attempt));
+        }
         if matches!(next, Step::Running { .. }) {
             self.check_start(inner, name, &task, now);
         }
