Review, case 6: services keep what another team is guaranteed

A team holds 48 CPUs with services, 32 of which are guaranteed to it. An array of another team, within that team's guarantee, loses its machine and gets no other capacity: preemption for a guarantee leaves services out.

The case with its stand-in; the case of preemption beyond a guarantee is number 8 now.

--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -5,6 +5,7 @@
 mod cbor;
 mod cloud;
 mod crash_loop;
+mod guarantee;
 mod http;
 mod huge_array;
 mod lab;
@@ -25,9 +26,10 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match case.as_str() {
         "4" => preemption::run(trouble),
-        "7" => huge_array::run(trouble),
-        "6" => over_preemption::run(trouble),
         "5" => crash_loop::run(trouble),
+        "6" => guarantee::run(trouble),
+        "7" => huge_array::run(trouble),
+        "8" => over_preemption::run(trouble),
         _ => Err(format!("no case {case:?}")),
     };
     match outcome {
--- a/review/lab/over_preemption.rs
+++ b/review/lab/over_preemption.rs
@@ -1,4 +1,4 @@
-//! Case 6: a team's work within its guarantee is stopped for work of lower priority.
+//! Case 8: a team's work within its guarantee is stopped for work of lower priority.
 
 use crate::lab::Lab;
 use crate::site;
@@ -10,7 +10,7 @@
 const LOOK_S: f64 = 30.0;
 
 pub fn run(trouble: bool) -> Result<Vec<String>, String> {
-    let mut lab = Lab::new("6", site::dallim())?;
+    let mut lab = Lab::new("8", site::dallim())?;
     let record = lab.record.clone();
     // Four machines in all.
     lab.cloud.change(|plan| {
