Review, case 5: the faulty machines are gone before the leader ends

The leader now ends after those machines have been given back, so that the probe goes to the sound one.

--- a/review/lab/crash_loop.rs
+++ b/review/lab/crash_loop.rs
@@ -12,6 +12,7 @@
     let record = lab.record.clone();
     // One sound cheap machine; ordinary ones in the other zone, and those that are rented first are faulty.
     lab.cloud.change(|plan| {
+        plan.boot_s = (1.0, 1.3);
         plan.capacity
             .insert(("quipu-chico", "lima-centro", true), 1);
         plan.capacity.insert(("quipu-chico", "arequipa", false), 4);
@@ -41,20 +42,30 @@
         return Err("a job was not accepted".to_owned());
     }
     lab.wait(25.0, |inner| failed_on(inner, &service.id) >= 3)?;
-    lab.cloud.change(|plan| plan.faulty = false);
+    // The machines that failed it are given back; others are there again once the troubles are over.
+    lab.cloud.change(|plan| {
+        plan.capacity.insert(("quipu-chico", "arequipa", false), 0);
+        plan.faulty = false;
+    });
+    lab.wait(25.0, |inner| {
+        let mut machines = inner.machines.values();
+        machines.all(|machine| !machine.faulty || machine.gone_at.is_some())
+    })?;
     let leader = lab.leader().ok_or("no leader")?;
     // The cheap machine becomes free.
-    record.sleep_until(record.now() + 0.8);
     if !lab.users.cancel(&filler.id) {
         return Err("the cancellation was not confirmed".to_owned());
     }
-    record.sleep_until(record.now() + 0.9);
+    record.sleep_until(record.now() + 0.5);
     if trouble {
         lab.nodes.kill(leader);
     }
     // "back about 5 s after an end"
     record.sleep_until(record.now() + 5.0);
     lab.nodes.start(leader)?;
+    lab.cloud.change(|plan| {
+        plan.capacity.insert(("quipu-chico", "arequipa", false), 4);
+    });
     record.line("no trouble from here on");
     let over_at = record.now();
     let mut waiting_since: Vec<Option<f64>> = vec![None; service.steps as usize];
