--- a/review/lab/site.rs
+++ b/review/lab/site.rs
@@ -45,7 +45,11 @@
 
 /// `kit/sites/encuestas-andinas-lima.toml`
 pub fn lima() -> Site {
-    let team = |i| Team { name: format!("campo-sur-{i:02}"), cpus: 0.0, cpus_max: 0.0 };
+    let team = |i| Team {
+        name: format!("campo-sur-{i:02}"),
+        cpus: 0.0,
+        cpus_max: 0.0,
+    };
     Site {
         name: "encuestas-andinas-lima",
         zones: &["arequipa", "lima-centro"],
@@ -94,7 +98,11 @@
 
 /// `kit/sites/dallim-activation-seoul.toml`
 pub fn dallim() -> Site {
-    let team = |i| Team { name: format!("activation-core-{i:02}"), cpus: 32.0, cpus_max: 88.0 };
+    let team = |i| Team {
+        name: format!("activation-core-{i:02}"),
+        cpus: 32.0,
+        cpus_max: 88.0,
+    };
     Site {
         name: "dallim-activation-seoul",
         zones: &["gasan", "pangyo"],
